--- /dev/null
+++ b/doc.c
@@ -0,0 +1,534 @@
+#include "doc.h"
+
+#include <stdio.h>
+
+#include <apr_strings.h>
+
+#include "json.h"
+
+enum {
+	MAX_CUSTOMERS = 100000,
+	MAX_PLANS = 1000,
+	MAX_DOMAINS = 64,
+	MAX_VMS = 4096,
+	MAX_TARGETS = 16384,
+	MAX_SNAPSHOTS = 8,
+	MAX_SHARDS = 32768,
+	MAX_SLOTS = 64,
+	MAX_CONNECTIONS = 4096,
+	MAX_MS = 600000,
+	PLACE = 64,
+	US_PER_MS = 1000,
+};
+
+const char *doc_name(enum doc_kind kind)
+{
+	return kind == DOC_LISTS ? "lists" : "fleet";
+}
+
+bool plan_allows(const struct plan *plan, struct str index, bool entry)
+{
+	const struct str *list = entry ? plan->entries : plan->indexes;
+	size_t count = entry ? plan->nentries : plan->nindexes;
+
+	for (size_t i = 0; i < count; i++)
+		if (str_eq(list[i], index))
+			return true;
+	return false;
+}
+
+static const char *const allowance_keys[] = {
+	"plan",	   "indexes",	  "entries",	    "rate",	  "burst",
+	"soft_ms", "deadline_ms", "coverage_floor", "extra_load", NULL};
+
+static void parse_allowance(struct json_in *in, const char *place,
+			    struct lists *lists, json_t *obj, struct plan *plan)
+{
+	json_keys(in, place, obj, allowance_keys);
+	plan->name = str_dup(lists->pool,
+			     json_text(in, place, obj, "plan", DOC_NAME_MAX));
+	plan->indexes = json_strings(in, place, obj, "indexes", lists->pool,
+				     &plan->nindexes);
+	plan->entries = json_strings(in, place, obj, "entries", lists->pool,
+				     &plan->nentries);
+	plan->rate = json_real_or(in, place, obj, "rate", 0.01, 1e7, 100);
+	plan->burst = json_real_or(in, place, obj, "burst", 1, 1e7,
+				   plan->rate > 1 ? plan->rate : 1);
+	plan->deadline_us =
+		json_int(in, place, obj, "deadline_ms", 1, MAX_MS) * US_PER_MS;
+	plan->soft_us = json_int_or(in, place, obj, "soft_ms", 1, MAX_MS,
+				    plan->deadline_us / US_PER_MS) *
+			US_PER_MS;
+	plan->floor = json_real_or(in, place, obj, "coverage_floor", 0, 1, 1);
+	plan->extra_load =
+		json_real_or(in, place, obj, "extra_load", 0, 1, 0.05);
+	if (plan->soft_us > plan->deadline_us)
+		json_fault(in, place, "soft_ms is over deadline_ms");
+}
+
+static struct plan *find_plan(struct lists *lists, struct str name,
+			      size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		if (str_eq(lists->plans[i].name, name))
+			return &lists->plans[i];
+	return NULL;
+}
+
+static void parse_allowances(struct json_in *in, struct lists *lists,
+			     json_t *doc)
+{
+	json_t *list =
+		json_list(in, "allowances", doc, "allowances", MAX_PLANS);
+
+	lists->nplans = list ? json_array_size(list) : 0;
+	lists->plans = apr_pcalloc(lists->pool,
+				   (lists->nplans + 1) * sizeof(struct plan));
+	for (size_t i = 0; i < lists->nplans && !in->err.code; i++) {
+		char place[PLACE];
+
+		snprintf(place, sizeof(place), "allowances[%zu]", i);
+		parse_allowance(in, place, lists, json_array_get(list, i),
+				&lists->plans[i]);
+		if (find_plan(lists, lists->plans[i].name, i))
+			json_fault(in, place, "plan \"%.*s\" stands twice",
+				   STR_ARG(lists->plans[i].name));
+	}
+}
+
+static void parse_customer(struct json_in *in, const char *place,
+			   struct lists *lists, json_t *obj)
+{
+	static const char *const keys[] = {"customer", "plan", NULL};
+
+	json_keys(in, place, obj, keys);
+
+	struct str customer =
+		json_text(in, place, obj, "customer", DOC_NAME_MAX);
+	struct str name = json_text(in, place, obj, "plan", DOC_NAME_MAX);
+
+	if (in->err.code)
+		return;
+
+	struct plan *plan = find_plan(lists, name, lists->nplans);
+
+	if (!plan) {
+		json_fault(in, place, "no allowance for plan \"%.*s\"",
+			   STR_ARG(name));
+		return;
+	}
+	customer = str_dup(lists->pool, customer);
+	if (apr_hash_get(lists->customers, customer.ptr,
+			 (apr_ssize_t)customer.len))
+		json_fault(in, place, "customer \"%.*s\" stands twice",
+			   STR_ARG(customer));
+	apr_hash_set(lists->customers, customer.ptr, (apr_ssize_t)customer.len,
+		     plan);
+}
+
+static void parse_customers(struct json_in *in, struct lists *lists,
+			    json_t *doc)
+{
+	json_t *list = json_list(in, "plans", doc, "plans", MAX_CUSTOMERS);
+	size_t count = list ? json_array_size(list) : 0;
+
+	for (size_t i = 0; i < count && !in->err.code; i++) {
+		char place[PLACE];
+
+		snprintf(place, sizeof(place), "plans[%zu]", i);
+		parse_customer(in, place, lists, json_array_get(list, i));
+	}
+}
+
+struct lists *lists_parse(struct str body, struct error *err)
+{
+	static const char *const keys[] = {"version", "plans", "allowances",
+					   NULL};
+	struct json_in in = {.file = "lists", .code = ERR_LIST};
+	json_t *doc = body.len > DOC_MAX ? NULL : json_parse(&in, body);
+	struct lists *lists = NULL;
+	apr_pool_t *pool;
+
+	if (body.len > DOC_MAX)
+		json_fault(&in, "size", "over %d bytes", DOC_MAX);
+	if (doc) {
+		apr_pool_create(&pool, NULL);
+		lists = apr_pcalloc(pool, sizeof(*lists));
+		lists->pool = pool;
+		lists->customers = apr_hash_make(pool);
+		lists->hash = str_hash(body);
+		json_keys(&in, "top", doc, keys);
+		lists->version = (uint64_t)json_int(&in, "top", doc, "version",
+						    1, INT64_MAX);
+		parse_allowances(&in, lists, doc);
+		parse_customers(&in, lists, doc);
+		json_decref(doc);
+	}
+	if (!in.err.code)
+		return lists;
+	*err = in.err;
+	lists_free(lists);
+	return NULL;
+}
+
+void lists_free(struct lists *lists)
+{
+	if (lists)
+		apr_pool_destroy(lists->pool);
+}
+
+const struct plan *lists_plan(const struct lists *lists, struct str customer)
+{
+	if (!lists)
+		return NULL;
+	return apr_hash_get(lists->customers, customer.ptr,
+			    (apr_ssize_t)customer.len);
+}
+
+struct domain *fleet_domain(const struct fleet *fleet, struct str name)
+{
+	for (size_t i = 0; i < fleet->ndomains; i++)
+		if (str_eq(fleet->domains[i].name, name))
+			return &fleet->domains[i];
+	return NULL;
+}
+
+/* "state" has one ordinary value and one that takes the thing out. */
+static bool parse_state(struct json_in *in, const char *place, json_t *obj,
+			const char *ordinary, const char *other)
+{
+	struct str state = json_text(in, place, obj, "state", DOC_NAME_MAX);
+
+	if (str_eq(state, str_of(other)))
+		return true;
+	if (!str_eq(state, str_of(ordinary)))
+		json_fault(in, place, "state must be \"%s\" or \"%s\"",
+			   ordinary, other);
+	return false;
+}
+
+static void parse_domains(struct json_in *in, struct fleet *fleet, json_t *doc)
+{
+	static const char *const keys[] = {"name", "state", NULL};
+	json_t *list = json_list(in, "domains", doc, "domains", MAX_DOMAINS);
+	size_t count = list ? json_array_size(list) : 0;
+
+	fleet->domains =
+		apr_pcalloc(fleet->pool, (count + 1) * sizeof(struct domain));
+	for (size_t i = 0; i < count && !in->err.code; i++) {
+		json_t *obj = json_array_get(list, i);
+		char place[PLACE];
+
+		snprintf(place, sizeof(place), "domains[%zu]", i);
+		json_keys(in, place, obj, keys);
+
+		struct str name =
+			json_text(in, place, obj, "name", DOC_NAME_MAX);
+
+		if (fleet_domain(fleet, name))
+			json_fault(in, place, "\"%.*s\" stands twice",
+				   STR_ARG(name));
+		fleet->domains[i].name = str_dup(fleet->pool, name);
+		fleet->domains[i].out =
+			parse_state(in, place, obj, "in", "out");
+		fleet->ndomains = i + 1;
+	}
+}
+
+static struct domain *parse_domain(struct json_in *in, const char *place,
+				   struct fleet *fleet, json_t *obj)
+{
+	struct str name = json_text(in, place, obj, "domain", DOC_NAME_MAX);
+	struct domain *domain = fleet_domain(fleet, name);
+
+	if (!domain)
+		json_fault(in, place, "failure domain \"%.*s\" is not listed",
+			   STR_ARG(name));
+	return domain;
+}
+
+static struct str parse_addr(struct json_in *in, const char *place,
+			     struct fleet *fleet, json_t *obj)
+{
+	struct str addr = json_text(in, place, obj, "address", DOC_NAME_MAX);
+	const char *colon = addr.len ? memchr(addr.ptr, ':', addr.len) : NULL;
+
+	if (!colon || strspn(addr.ptr, "0123456789.:") < addr.len)
+		json_fault(in, place, "address must be \"ip:port\"");
+	return str_dup(fleet->pool, addr);
+}
+
+/* A name or address that stands twice would give one thing two owners. */
+static void check_unique(struct json_in *in, const char *place,
+			 apr_hash_t *seen, struct str name, void *value)
+{
+	if (in->err.code)
+		return;
+	if (apr_hash_get(seen, name.ptr, (apr_ssize_t)name.len))
+		json_fault(in, place, "\"%.*s\" stands twice", STR_ARG(name));
+	apr_hash_set(seen, name.ptr, (apr_ssize_t)name.len, value);
+}
+
+static void parse_vms(struct json_in *in, struct fleet *fleet, json_t *doc)
+{
+	static const char *const keys[] = {"address", "domain", "state", NULL};
+	json_t *list = json_list(in, "vms", doc, "vms", MAX_VMS);
+	size_t count = list ? json_array_size(list) : 0;
+	apr_hash_t *seen = apr_hash_make(fleet->pool);
+
+	fleet->vms =
+		apr_pcalloc(fleet->pool, (count + 1) * sizeof(struct fleet_vm));
+	fleet->nvms = count;
+	for (size_t i = 0; i < count && !in->err.code; i++) {
+		json_t *obj = json_array_get(list, i);
+		struct fleet_vm *vm = &fleet->vms[i];
+		char place[PLACE];
+
+		snprintf(place, sizeof(place), "vms[%zu]", i);
+		json_keys(in, place, obj, keys);
+		vm->addr = parse_addr(in, place, fleet, obj);
+		vm->key = str_hash(vm->addr);
+		vm->domain = parse_domain(in, place, fleet, obj);
+		vm->leaving = parse_state(in, place, obj, "live", "leaving");
+		check_unique(in, place, seen, vm->addr, vm);
+	}
+}
+
+static void parse_targets(struct json_in *in, struct fleet *fleet, json_t *doc,
+			  apr_hash_t *names)
+{
+	static const char *const keys[] = {"name",  "address", "domain",
+					   "state", "slots",   "connections",
+					   NULL};
+	json_t *list = json_list(in, "targets", doc, "targets", MAX_TARGETS);
+	size_t count = list ? json_array_size(list) : 0;
+	apr_hash_t *addrs = apr_hash_make(fleet->pool);
+
+	fleet->targets = apr_pcalloc(fleet->pool,
+				     (count + 1) * sizeof(struct fleet_target));
+	fleet->ntargets = count;
+	for (size_t i = 0; i < count && !in->err.code; i++) {
+		json_t *obj = json_array_get(list, i);
+		struct fleet_target *target = &fleet->targets[i];
+		char place[PLACE];
+
+		snprintf(place, sizeof(place), "targets[%zu]", i);
+		json_keys(in, place, obj, keys);
+		target->name =
+			str_dup(fleet->pool, json_text(in, place, obj, "name",
+						       DOC_NAME_MAX));
+		target->key = str_hash(target->name);
+		target->addr = parse_addr(in, place, fleet, obj);
+		target->domain = parse_domain(in, place, fleet, obj);
+		target->leaving =
+			parse_state(in, place, obj, "live", "leaving");
+		target->slots =
+			(int)json_int(in, place, obj, "slots", 1, MAX_SLOTS);
+		target->connections = (int)json_int(
+			in, place, obj, "connections", 2, MAX_CONNECTIONS);
+		check_unique(in, place, names, target->name, target);
+		check_unique(in, place, addrs, target->addr, target);
+	}
+}
+
+static void parse_replicas(struct json_in *in, const char *place, json_t *obj,
+			   apr_hash_t *names, struct shard *shard)
+{
+	json_t *list = json_list(in, place, obj, "replicas", DOC_MAX_REPLICAS);
+	size_t count = list ? json_array_size(list) : 0;
+
+	for (size_t i = 0; i < count && !in->err.code; i++) {
+		const char *name = json_string_value(json_array_get(list, i));
+		struct fleet_target *target =
+			name ? apr_hash_get(names, name, APR_HASH_KEY_STRING)
+			     : NULL;
+
+		if (!target) {
+			json_fault(in, place, "replica %zu is no target", i);
+			return;
+		}
+		for (size_t j = 0; j < i; j++)
+			if (shard->replicas[j] == target)
+				json_fault(in, place, "replica \"%s\" twice",
+					   name);
+		shard->replicas[i] = target;
+	}
+	shard->nreplicas = count;
+}
+
+static int shard_order(const void *left, const void *right)
+{
+	const struct shard *a = left;
+	const struct shard *b = right;
+	size_t len = a->index.len < b->index.len ? a->index.len : b->index.len;
+	int order = memcmp(a->index.ptr, b->index.ptr, len);
+
+	if (order)
+		return order;
+	if (a->index.len != b->index.len)
+		return a->index.len < b->index.len ? -1 : 1;
+	return a->from < b->from ? -1 : a->from > b->from;
+}
+
+/*
+ * Two shards that share a key would count its records twice and let an answer
+ * report more than it covers, so such a map is refused as a whole.
+ */
+static void check_map(struct json_in *in, const char *place,
+		      struct snapshot *snap, apr_pool_t *pool)
+{
+	apr_hash_t *ids = apr_hash_make(pool);
+
+	qsort(snap->shards, snap->nshards, sizeof(struct shard), shard_order);
+	for (size_t i = 0; i < snap->nshards && !in->err.code; i++) {
+		struct shard *shard = &snap->shards[i];
+		struct shard *before = i ? shard - 1 : NULL;
+
+		if (before && str_eq(before->index, shard->index) &&
+		    before->to > shard->from)
+			json_fault(in, place, "shards %u and %u overlap",
+				   before->id, shard->id);
+		if (apr_hash_get(ids, &shard->id, sizeof(shard->id)))
+			json_fault(in, place, "shard id %u stands twice",
+				   shard->id);
+		apr_hash_set(ids, &shard->id, sizeof(shard->id), shard);
+	}
+}
+
+static void parse_shard(struct json_in *in, const char *place,
+			struct fleet *fleet, json_t *obj, apr_hash_t *names,
+			struct shard *shard)
+{
+	static const char *const keys[] = {"id",     "index",	 "from", "to",
+					   "weight", "replicas", NULL};
+
+	json_keys(in, place, obj, keys);
+	shard->id = (uint32_t)json_int(in, place, obj, "id", 1, UINT32_MAX);
+	shard->index = str_dup(
+		fleet->pool, json_text(in, place, obj, "index", DOC_NAME_MAX));
+	shard->from = json_int(in, place, obj, "from", INT64_MIN, INT64_MAX);
+	shard->to = json_int(in, place, obj, "to", INT64_MIN, INT64_MAX);
+	if (shard->to <= shard->from)
+		json_fault(in, place, "\"to\" must be above \"from\"");
+	shard->weight = json_real_or(in, place, obj, "weight", 1e-9, 1e12, 1);
+	parse_replicas(in, place, obj, names, shard);
+}
+
+static void parse_snapshot(struct json_in *in, const char *place,
+			   struct fleet *fleet, json_t *obj, apr_hash_t *names,
+			   struct snapshot *snap)
+{
+	static const char *const keys[] = {"version", "shards", NULL};
+
+	json_keys(in, place, obj, keys);
+	snap->version =
+		(uint64_t)json_int(in, place, obj, "version", 1, INT64_MAX);
+
+	json_t *list = json_list(in, place, obj, "shards", MAX_SHARDS);
+
+	snap->nshards = list ? json_array_size(list) : 0;
+	snap->shards = apr_pcalloc(fleet->pool,
+				   (snap->nshards + 1) * sizeof(struct shard));
+	for (size_t i = 0; i < snap->nshards && !in->err.code; i++) {
+		char inner[PLACE + 32];
+
+		snprintf(inner, sizeof(inner), "%s.shards[%zu]", place, i);
+		parse_shard(in, inner, fleet, json_array_get(list, i), names,
+			    &snap->shards[i]);
+	}
+	if (!in->err.code)
+		check_map(in, place, snap, fleet->pool);
+}
+
+static void parse_snapshots(struct json_in *in, struct fleet *fleet,
+			    json_t *doc, apr_hash_t *names)
+{
+	json_t *list =
+		json_list(in, "snapshots", doc, "snapshots", MAX_SNAPSHOTS);
+	size_t count = list ? json_array_size(list) : 0;
+
+	fleet->nsnapshots = count;
+	fleet->snapshots =
+		apr_pcalloc(fleet->pool, (count + 1) * sizeof(struct snapshot));
+	for (size_t i = 0; i < count && !in->err.code; i++) {
+		char place[PLACE];
+
+		snprintf(place, sizeof(place), "snapshots[%zu]", i);
+		parse_snapshot(in, place, fleet, json_array_get(list, i), names,
+			       &fleet->snapshots[i]);
+		if (i && fleet->snapshots[i].version >=
+				 fleet->snapshots[i - 1].version)
+			json_fault(in, place, "versions must go down");
+	}
+}
+
+struct fleet *fleet_parse(struct str body, struct error *err)
+{
+	static const char *const keys[] = {"version", "domains",   "vms",
+					   "targets", "snapshots", NULL};
+	struct json_in in = {.file = "fleet", .code = ERR_LIST};
+	json_t *doc = body.len > DOC_MAX ? NULL : json_parse(&in, body);
+	struct fleet *fleet = NULL;
+	apr_pool_t *pool;
+
+	if (body.len > DOC_MAX)
+		json_fault(&in, "size", "over %d bytes", DOC_MAX);
+	if (doc) {
+		apr_pool_create(&pool, NULL);
+		fleet = apr_pcalloc(pool, sizeof(*fleet));
+		fleet->pool = pool;
+		fleet->refs = 1;
+		fleet->hash = str_hash(body);
+
+		apr_hash_t *names = apr_hash_make(pool);
+
+		json_keys(&in, "top", doc, keys);
+		fleet->version = (uint64_t)json_int(&in, "top", doc, "version",
+						    1, INT64_MAX);
+		parse_domains(&in, fleet, doc);
+		parse_vms(&in, fleet, doc);
+		parse_targets(&in, fleet, doc, names);
+		parse_snapshots(&in, fleet, doc, names);
+		json_decref(doc);
+	}
+	if (!in.err.code)
+		return fleet;
+	*err = in.err;
+	if (fleet)
+		apr_pool_destroy(fleet->pool);
+	return NULL;
+}
+
+struct fleet *fleet_ref(struct fleet *fleet)
+{
+	fleet->refs++;
+	return fleet;
+}
+
+void fleet_unref(struct fleet *fleet)
+{
+	if (fleet && !--fleet->refs)
+		apr_pool_destroy(fleet->pool);
+}
+
+const struct shard *snapshot_range(const struct snapshot *snap,
+				   struct str index, size_t *count)
+{
+	struct shard wanted = {.index = index, .from = INT64_MIN};
+	size_t low = 0;
+	size_t high = snap->nshards;
+
+	while (low < high) {
+		size_t mid = (low + high) / 2;
+
+		if (shard_order(&snap->shards[mid], &wanted) < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	*count = 0;
+	while (low + *count < snap->nshards &&
+	       str_eq(snap->shards[low + *count].index, index))
+		++*count;
+	return *count ? &snap->shards[low] : NULL;
+}
--- /dev/null
+++ b/gate.c
@@ -0,0 +1,1031 @@
+#include "gate.h"
+
+#include <stddef.h>
+#include <stdlib.h>
+
+#include "xmalloc.h"
+
+enum {
+	FLOOR = 1,
+	RAMP_STREAK = 8,
+	HOLD_MIN_US = 500000,
+	HOLD_MAX_US = 16000000,
+	SLOW_FACTOR = 8,
+	SLOW_MIN_US = 50000,
+	SLOW_STREAK = 3,
+	SHED_STREAK = 3,
+	BROKEN_STREAK = 2,
+	BASELINE_SHIFT = 4,
+	FIRST_SERVICE_US = 5000,
+	QUEUE_MAX = 512,
+	GRANT_US = 300000,
+	GRACE_US = 2000000,
+	PROBE_MIN_US = 100000,
+	PROBE_MAX_US = 1000000,
+	PROBE_WAIT_US = 500000,
+	TOMBSTONE_US = 10000000,
+	ENTRY_RETRY_US = 1000000,
+};
+
+/* Part of struct job that replies and cancels name. */
+struct job_key {
+	uint64_t origin;
+	uint64_t incarnation;
+	uint64_t id;
+	uint64_t attempt;
+};
+
+struct keyed_job {
+	struct job_key key;
+	struct job job;
+};
+
+static struct job_key *key_of(struct job *job)
+{
+	size_t offset = offsetof(struct keyed_job, job);
+
+	return &((struct keyed_job *)((char *)job - offset))->key;
+}
+
+void gate_init(struct node *node)
+{
+	struct gate *gate = xcalloc(1, sizeof(*gate));
+
+	node->gate = gate;
+	apr_pool_create(&gate->pool, node->pool);
+	gate->targets = apr_hash_make(gate->pool);
+	gate->numbers = apr_hash_make(gate->pool);
+	gate->keys = apr_hash_make(gate->pool);
+}
+
+static char *keep(struct str s)
+{
+	char *copy = xmalloc(s.len + 1);
+
+	if (s.len)
+		memcpy(copy, s.ptr, s.len);
+	copy[s.len] = '\0';
+	return copy;
+}
+
+static struct str keep_str(struct str s)
+{
+	return (struct str){keep(s), s.len};
+}
+
+static void job_free(struct node *node, struct job *job)
+{
+	struct gate *gate = node->gate;
+	struct job_key *key = key_of(job);
+
+	apr_hash_set(gate->numbers, &job->number, sizeof(job->number), NULL);
+	if (apr_hash_get(gate->keys, key, sizeof(*key)) == job)
+		apr_hash_set(gate->keys, key, sizeof(*key), NULL);
+	free((char *)job->addr.ptr);
+	free((char *)job->index.ptr);
+	free((char *)job->terms.ptr);
+	job->target->jobs--;
+	if (job->state != JOB_DONE)
+		gate->open--;
+	free(key);
+}
+
+static void target_free(struct target *target)
+{
+	free((char *)target->name.ptr);
+	free((char *)target->addr.ptr);
+	free((char *)target->domain.ptr);
+	free(target);
+}
+
+void gate_destroy(struct node *node)
+{
+	struct gate *gate = node->gate;
+	apr_hash_index_t *it;
+	void *value;
+
+	for (it = apr_hash_first(gate->pool, gate->numbers); it;
+	     it = apr_hash_next(it)) {
+		apr_hash_this(it, NULL, NULL, &value);
+		job_free(node, value);
+	}
+	for (it = apr_hash_first(gate->pool, gate->targets); it;
+	     it = apr_hash_next(it)) {
+		apr_hash_this(it, NULL, NULL, &value);
+		target_free(value);
+	}
+	apr_pool_destroy(gate->pool);
+	free(gate);
+}
+
+size_t gate_open(const struct node *node)
+{
+	return node->gate->open;
+}
+
+const struct target *gate_listed(const struct node *node, uint64_t key)
+{
+	const struct target *target =
+		apr_hash_get(node->gate->targets, &key, sizeof(key));
+
+	if (!target || !target->listed)
+		return NULL;
+	if (target->domain_out && !node->opt.off.no_domain_check)
+		return NULL;
+	if (target->listed_leaving && !node->opt.off.no_leaving_check)
+		return NULL;
+	return target;
+}
+
+/* Replies. */
+
+static void reply(struct node *node, struct job *job, int status, bool ran,
+		  struct str body)
+{
+	if (job->replied)
+		return;
+	job->replied = true;
+
+	int64_t started = job->started_at ? job->started_at : node->now;
+	struct msg msg = {
+		.kind = job->is_entry ? MSG_GO_REPLY : MSG_LEAF_REPLY,
+		.id = job->id,
+		.attempt = job->attempt,
+		.target = job->target->key,
+		.shard = job->shard,
+		.version = job->version,
+		.status = status,
+		.ran = ran,
+		.wait_us = started - job->queued_at,
+		.service_us = node->now - started,
+		.body = body,
+	};
+
+	if (status)
+		job->target->refused++;
+	node_send(node, job->addr, job->incarnation, &msg);
+}
+
+static void refuse(struct node *node, struct job *job, int status)
+{
+	node->counters[CNT_JOBS_REFUSED]++;
+	reply(node, job, status, false, (struct str){0});
+	job_free(node, job);
+}
+
+/* The queue. */
+
+static void push(struct target *target, struct job *job)
+{
+	job->next = NULL;
+	if (target->tail)
+		target->tail->next = job;
+	else
+		target->head = job;
+	target->tail = job;
+	target->queued++;
+}
+
+static struct job *pop(struct target *target)
+{
+	struct job *job = target->head;
+
+	target->head = job->next;
+	if (!target->head)
+		target->tail = NULL;
+	target->queued--;
+	return job;
+}
+
+static void unlink_job(struct target *target, struct job *job)
+{
+	struct job **at = &target->head;
+	struct job *before = NULL;
+
+	while (*at && *at != job) {
+		before = *at;
+		at = &before->next;
+	}
+	if (!*at)
+		return;
+	*at = job->next;
+	if (target->tail == job)
+		target->tail = before;
+	target->queued--;
+}
+
+static void refuse_all(struct node *node, struct target *target, int status)
+{
+	while (target->head)
+		refuse(node, pop(target), status);
+}
+
+/*
+ * Whether the target may get new work now; the answer to "why not" goes to
+ * the front. Checked at arrival and again at the start of each job, since a
+ * domain, a VM list or an owner can change while a job waits in the queue.
+ */
+static int closed(const struct node *node, const struct target *target)
+{
+	if (!target->owned)
+		return ERR_NOT_OWNER;
+	if (target->domain_out && !node->opt.off.no_domain_check)
+		return ERR_DOMAIN_OUT;
+	if ((target->listed_leaving || target->draining) &&
+	    !node->opt.off.no_leaving_check)
+		return ERR_TARGET_LEAVING;
+	if (target->down)
+		return ERR_TARGET_DOWN;
+	if (member_isolated(node))
+		return ERR_ISOLATED;
+	return 0;
+}
+
+/* Health. */
+
+static void probe_later(struct node *node, struct target *target)
+{
+	if (target->probing || !target->owned)
+		return;
+	target->probing = true;
+	timer_add(&node->timers, node->now + target->probe_us, TIMER_TARGET,
+		  target->key);
+	if (target->probe_us < PROBE_MAX_US)
+		target->probe_us *= 2;
+}
+
+static void audit_target(struct node *node, const struct target *target,
+			 const char *to, const char *why)
+{
+	node_audit(node, "target", target->name, str_of(to), why, 0);
+}
+
+/*
+ * Any sign of a cold start takes the target to its floor at once: reports
+ * lag, and a cold target that gets its full load falls over again. Each
+ * relapse doubles the time that a step of the ramp takes, so a target whose
+ * start is longer than expected is not pushed over time and again.
+ */
+static void set_cold(struct node *node, struct target *target, const char *why)
+{
+	bool relapse = target->limit == FLOOR && target->streak < RAMP_STREAK;
+
+	if (!relapse || !target->cold) {
+		audit_target(node, target, "cold", why);
+		if (target->cold && target->hold_us < HOLD_MAX_US)
+			target->hold_us *= 2;
+	}
+	node->counters[CNT_TARGET_COLD]++;
+	target->cold++;
+	target->limit = node->opt.off.no_ramp ? target->slots : FLOOR;
+	target->streak = 0;
+	target->slow = 0;
+	target->sheds = 0;
+	target->step_at = node->now;
+}
+
+static void set_down(struct node *node, struct target *target, const char *why)
+{
+	if (target->down)
+		return;
+	node->counters[CNT_TARGET_DOWN]++;
+	audit_target(node, target, "down", why);
+	target->down = true;
+	target->probe_us = PROBE_MIN_US;
+	refuse_all(node, target, ERR_TARGET_DOWN);
+	probe_later(node, target);
+}
+
+static void set_draining(struct node *node, struct target *target)
+{
+	if (target->draining)
+		return;
+	audit_target(node, target, "draining", "the target says so");
+	target->draining = true;
+	target->probe_us = PROBE_MAX_US;
+	if (!node->opt.off.no_leaving_check)
+		refuse_all(node, target, ERR_TARGET_LEAVING);
+	probe_later(node, target);
+}
+
+static void note_boot(struct node *node, struct target *target, uint64_t boot)
+{
+	if (!boot || boot == target->boot)
+		return;
+	if (target->boot) {
+		set_cold(node, target, "its boot id changed");
+		target->draining = false;
+	}
+	target->boot = boot;
+}
+
+/* A report can lower the limit: others' work counts against the slots. */
+static void note_load(struct target *target, int load)
+{
+	if (load < 0)
+		return;
+	target->foreign = load > target->busy ? load - target->busy : 0;
+}
+
+static int effective_limit(const struct target *target)
+{
+	int limit = target->slots - target->foreign;
+
+	if (limit > target->limit)
+		limit = target->limit;
+	return limit < FLOOR ? FLOOR : limit;
+}
+
+static void note_timely(struct node *node, struct target *target,
+			int64_t service)
+{
+	target->sheds = 0;
+	target->broken = 0;
+	if (target->baseline_us && service > SLOW_MIN_US &&
+	    service > target->baseline_us * SLOW_FACTOR) {
+		if (++target->slow >= SLOW_STREAK)
+			set_cold(node, target, "latency jumped");
+		return;
+	}
+	target->slow = 0;
+	if (!target->baseline_us)
+		target->baseline_us = service;
+	target->baseline_us +=
+		(service - target->baseline_us) >> BASELINE_SHIFT;
+	target->streak++;
+	if (target->limit >= target->slots || target->streak < RAMP_STREAK ||
+	    node->now - target->step_at < target->hold_us)
+		return;
+	target->limit++;
+	target->streak = 0;
+	target->step_at = node->now;
+}
+
+/* Dispatch. */
+
+static void fetch(struct node *node, struct job *job, enum fetch_kind kind,
+		  struct str body)
+{
+	struct target *target = job->target;
+	struct effect *fx = effects_add(node->fx, FX_FETCH);
+
+	fx->id = job->number;
+	fx->job = job->number;
+	fx->fetch = kind;
+	fx->addr = str_dup(node->fx->pool, target->addr);
+	fx->version = job->version;
+	fx->shard = job->shard;
+	fx->name = str_dup(node->fx->pool, job->index);
+	fx->text = str_dup(node->fx->pool, job->terms);
+	fx->body = str_dup(node->fx->pool, body);
+	fx->wait_us = job->deadline - node->now;
+	target->requests++;
+	node->counters[CNT_TARGET_REQUESTS]++;
+}
+
+static void start(struct node *node, struct job *job)
+{
+	struct target *target = job->target;
+
+	target->busy++;
+	if (!job->is_entry) {
+		job->state = JOB_RUNNING;
+		job->started_at = node->now;
+		fetch(node, job, FETCH_LEAF, (struct str){0});
+		timer_add(&node->timers, job->deadline, TIMER_JOB, job->number);
+		return;
+	}
+	job->state = JOB_GRANTED;
+	/* The grant ends by this node's own clock, wherever the issuer is. */
+	job->deadline = node->now + GRANT_US;
+	timer_add(&node->timers, job->deadline, TIMER_JOB, job->number);
+
+	struct msg grant = {
+		.kind = MSG_GRANT,
+		.id = job->id,
+		.attempt = job->attempt,
+		.remaining_us = GRANT_US,
+	};
+
+	node_send(node, job->addr, job->incarnation, &grant);
+}
+
+static void pump(struct node *node, struct target *target)
+{
+	int reason = target->head ? closed(node, target) : 0;
+
+	if (reason) {
+		refuse_all(node, target, reason);
+		return;
+	}
+	/* After a pause nothing starts on the old view; gate_resume() pumps. */
+	if (!member_view_ok(node) && !node->opt.off.no_pause_check)
+		return;
+	while (target->head && target->busy < effective_limit(target)) {
+		struct job *job = pop(target);
+
+		if (node->now < job->deadline) {
+			start(node, job);
+			continue;
+		}
+		node->counters[CNT_JOBS_EXPIRED]++;
+		refuse(node, job, ERR_DEADLINE);
+	}
+}
+
+static void release_slot(struct node *node, struct target *target)
+{
+	target->busy--;
+	pump(node, target);
+}
+
+/* Arrival. */
+
+static struct job *job_find(struct node *node, uint64_t origin,
+			    uint64_t incarnation, const struct msg *msg)
+{
+	struct job_key key = {origin, incarnation, msg->id, msg->attempt};
+
+	return apr_hash_get(node->gate->keys, &key, sizeof(key));
+}
+
+static struct job *job_create(struct node *node, struct target *target,
+			      struct str from, uint64_t incarnation,
+			      const struct msg *msg)
+{
+	struct gate *gate = node->gate;
+	struct keyed_job *keyed = xcalloc(1, sizeof(*keyed));
+	struct job *job = &keyed->job;
+
+	keyed->key = (struct job_key){str_hash(from), incarnation, msg->id,
+				      msg->attempt};
+	job->number = ++node->next_id;
+	job->origin = keyed->key.origin;
+	job->incarnation = incarnation;
+	job->id = msg->id;
+	job->attempt = msg->attempt;
+	job->addr = keep_str(from);
+	job->is_entry = msg->kind == MSG_RESERVE;
+	job->target = target;
+	target->jobs++;
+	job->shard = msg->shard;
+	job->version = msg->version;
+	job->index = keep_str(msg->name);
+	job->terms = keep_str(msg->text);
+	job->queued_at = node->now;
+	job->deadline = node->now + msg->remaining_us;
+	apr_hash_set(gate->numbers, &job->number, sizeof(job->number), job);
+	apr_hash_set(gate->keys, &keyed->key, sizeof(keyed->key), job);
+	gate->open++;
+	return job;
+}
+
+/*
+ * The shortest queue that keeps the slots busy: a request that would wait
+ * past its deadline is refused on arrival, while its front can still go to
+ * another replica.
+ */
+static bool would_expire(const struct target *target, const struct msg *msg)
+{
+	int64_t service =
+		target->baseline_us ? target->baseline_us : FIRST_SERVICE_US;
+	int64_t ahead = (int64_t)target->queued + target->busy;
+	int64_t wait = ahead * service / effective_limit(target);
+
+	return target->queued >= QUEUE_MAX ||
+	       wait + service > msg->remaining_us;
+}
+
+static void arrive(struct node *node, struct str from, uint64_t incarnation,
+		   const struct msg *msg)
+{
+	struct target *target = apr_hash_get(node->gate->targets, &msg->target,
+					     sizeof(msg->target));
+	struct msg no = {
+		.kind = msg->kind == MSG_RESERVE ? MSG_GO_REPLY
+						 : MSG_LEAF_REPLY,
+		.id = msg->id,
+		.attempt = msg->attempt,
+		.target = msg->target,
+		.shard = msg->shard,
+		.version = msg->version,
+	};
+
+	if (job_find(node, str_hash(from), incarnation, msg))
+		return;
+	if (!target)
+		no.status = ERR_NOT_OWNER;
+	else
+		no.status = closed(node, target);
+	if (!no.status && would_expire(target, msg))
+		no.status = ERR_QUEUE_FULL;
+	if (no.status) {
+		node->counters[CNT_JOBS_REFUSED]++;
+		node_send(node, from, incarnation, &no);
+		return;
+	}
+	push(target, job_create(node, target, from, incarnation, msg));
+	pump(node, target);
+}
+
+void gate_leaf(struct node *node, struct str from, uint64_t incarnation,
+	       const struct msg *msg)
+{
+	arrive(node, from, incarnation, msg);
+}
+
+void gate_reserve(struct node *node, struct str from, uint64_t incarnation,
+		  const struct msg *msg)
+{
+	arrive(node, from, incarnation, msg);
+}
+
+/* An entry's job stays as a tombstone, so that a second GO finds it. */
+static void bury(struct node *node, struct job *job)
+{
+	job->state = JOB_DONE;
+	node->gate->open--;
+	timer_add(&node->timers, node->now + TOMBSTONE_US, TIMER_JOB,
+		  job->number);
+}
+
+void gate_go(struct node *node, struct str from, uint64_t incarnation,
+	     const struct msg *msg)
+{
+	struct job *job = job_find(node, str_hash(from), incarnation, msg);
+
+	if (job && job->state != JOB_GRANTED)
+		return;
+	/*
+	 * A GO can lie in the socket while this process is paused. By the time
+	 * that it is read, the issuer may have told its caller that the entry
+	 * did not run. The grant's own deadline stops it here.
+	 */
+	bool ended = !job || node->now >= job->deadline;
+
+	if (job && node->opt.off.no_grant)
+		ended = false;
+	if (ended) {
+		struct msg no = {.kind = MSG_GO_REPLY,
+				 .id = msg->id,
+				 .attempt = msg->attempt,
+				 .status = ERR_GRANT_EXPIRED};
+
+		node_send(node, from, incarnation, &no);
+		return;
+	}
+
+	struct target *target = job->target;
+	int reason = closed(node, target);
+
+	if (!reason && !member_view_ok(node))
+		reason = ERR_ISOLATED;
+	if (reason) {
+		reply(node, job, reason, false, (struct str){0});
+		bury(node, job);
+		release_slot(node, target);
+		return;
+	}
+	job->state = JOB_RUNNING;
+	job->started_at = node->now;
+	job->deadline = node->now + msg->remaining_us;
+	fetch(node, job, FETCH_ENTRY, msg->body);
+	timer_add(&node->timers, job->deadline, TIMER_JOB, job->number);
+}
+
+/* A cancel call frees the slot soon and keeps the connection, where closing
+ * it would cost the target and the next request a new one. */
+static void cancel_running(struct node *node, struct job *job)
+{
+	if (job->cancelled)
+		return;
+	job->cancelled = true;
+	node->counters[CNT_TARGET_CANCELS]++;
+
+	struct effect *fx = effects_add(node->fx, FX_FETCH);
+
+	fx->id = 0;
+	fx->job = job->number;
+	fx->fetch = FETCH_CANCEL;
+	fx->addr = str_dup(node->fx->pool, job->target->addr);
+	fx->wait_us = GRACE_US;
+	timer_add(&node->timers, node->now + GRACE_US, TIMER_JOB, job->number);
+}
+
+static void cancel(struct node *node, struct job *job)
+{
+	struct target *target = job->target;
+
+	switch (job->state) {
+	case JOB_QUEUED:
+		unlink_job(target, job);
+		job_free(node, job);
+		return;
+	case JOB_GRANTED:
+		job->replied = true;
+		bury(node, job);
+		release_slot(node, target);
+		return;
+	case JOB_RUNNING:
+		/* An entry that has begun goes on: its outcome is wanted. */
+		if (job->is_entry)
+			return;
+		job->replied = true;
+		cancel_running(node, job);
+		return;
+	case JOB_DONE:
+		return;
+	}
+}
+
+void gate_cancel(struct node *node, struct str from, uint64_t incarnation,
+		 const struct msg *msg)
+{
+	struct job *job = job_find(node, str_hash(from), incarnation, msg);
+
+	if (job)
+		cancel(node, job);
+}
+
+void gate_origin_lost(struct node *node, uint64_t origin, uint64_t incarnation)
+{
+	apr_pool_t *pool;
+	apr_hash_index_t *it;
+
+	if (!node->gate)
+		return;
+	apr_pool_create(&pool, node->gate->pool);
+	for (it = apr_hash_first(pool, node->gate->numbers); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+
+		apr_hash_this(it, NULL, NULL, &value);
+
+		struct job *job = value;
+
+		if (job->origin == origin && job->incarnation == incarnation &&
+		    !job->replied)
+			cancel(node, job);
+	}
+	apr_pool_destroy(pool);
+}
+
+/* Results. */
+
+static int leaf_status(const struct node *node, const struct job *job,
+		       const struct fetched *got, bool *ran)
+{
+	*ran = true;
+	switch (got->result) {
+	case FETCH_REFUSED:
+		*ran = false;
+		return ERR_TARGET_DOWN;
+	case FETCH_BROKEN:
+		return ERR_BROKEN;
+	case FETCH_TIMEOUT:
+		return ERR_DEADLINE;
+	case FETCH_MALFORMED:
+		return ERR_MALFORMED;
+	case FETCH_OK:
+		break;
+	}
+	if (got->status == 503) {
+		*ran = false;
+		return got->draining ? ERR_TARGET_LEAVING : ERR_TARGET_SHED;
+	}
+	if (got->status == 409)
+		return ERR_WRONG_VERSION;
+	if (got->status != 200 || got->job != job->number)
+		return ERR_MALFORMED;
+	if (job->is_entry)
+		return 0;
+	if (got->shard != job->shard)
+		return ERR_MALFORMED;
+	if (got->version != job->version && !node->opt.off.no_version_check)
+		return ERR_WRONG_VERSION;
+	return 0;
+}
+
+static void note_result(struct node *node, struct target *target,
+			const struct job *job, const struct fetched *got,
+			int status)
+{
+	note_boot(node, target, got->boot);
+	note_load(target, got->load);
+	switch (got->result) {
+	case FETCH_REFUSED:
+		set_cold(node, target, "it refused a connection");
+		set_down(node, target, "it refused a connection");
+		return;
+	case FETCH_BROKEN:
+		set_cold(node, target, "it closed without a reply");
+		if (++target->broken >= BROKEN_STREAK)
+			set_down(node, target, "it closes without a reply");
+		return;
+	case FETCH_TIMEOUT:
+		if (++target->broken >= BROKEN_STREAK)
+			set_cold(node, target, "it does not answer in time");
+		return;
+	case FETCH_MALFORMED:
+		return;
+	case FETCH_OK:
+		break;
+	}
+	if (got->draining)
+		set_draining(node, target);
+	if (status == ERR_TARGET_SHED) {
+		if (++target->sheds >= SHED_STREAK)
+			set_cold(node, target, "it sheds in a row");
+		else if (target->limit > FLOOR)
+			target->limit--;
+		target->step_at = node->now;
+		return;
+	}
+	if (!job->cancelled && !status)
+		note_timely(node, target, node->now - job->started_at);
+}
+
+static void probed(struct node *node, struct target *target,
+		   const struct fetched *got)
+{
+	target->probing = false;
+	if (!target->owned || (!target->down && !target->draining))
+		return;
+
+	bool answers = got->result == FETCH_OK && got->status == 200;
+
+	if (!answers && target->draining && !target->down) {
+		target->draining = false;
+		set_down(node, target, "it left");
+		return;
+	}
+	if (!answers || got->draining) {
+		probe_later(node, target);
+		return;
+	}
+	note_boot(node, target, got->boot);
+	target->down = false;
+	target->draining = false;
+	target->broken = 0;
+	set_cold(node, target, "it answers again");
+}
+
+void gate_fetched(struct node *node, uint64_t number, const struct fetched *got)
+{
+	struct gate *gate = node->gate;
+	struct job *job = apr_hash_get(gate->numbers, &number, sizeof(number));
+
+	node->counters[CNT_TARGET_RESENT] += (uint64_t)got->resent;
+	if (!job) {
+		/* A probe is numbered by its target's key. */
+		struct target *target =
+			apr_hash_get(gate->targets, &number, sizeof(number));
+
+		if (target && target->probing)
+			probed(node, target, got);
+		return;
+	}
+	if (job->state != JOB_RUNNING)
+		return;
+
+	struct target *target = job->target;
+	bool ran;
+	int status = leaf_status(node, job, got, &ran);
+
+	note_result(node, target, job, got, status);
+	reply(node, job, status, ran, got->body);
+	if (job->is_entry)
+		bury(node, job);
+	else
+		job_free(node, job);
+	release_slot(node, target);
+}
+
+void gate_job_timer(struct node *node, uint64_t number)
+{
+	struct job *job =
+		apr_hash_get(node->gate->numbers, &number, sizeof(number));
+
+	if (!job || job->state == JOB_QUEUED || node->now < job->deadline)
+		return;
+
+	struct target *target = job->target;
+
+	if (job->state == JOB_DONE) {
+		job_free(node, job);
+	} else if (job->state == JOB_GRANTED) {
+		reply(node, job, ERR_GRANT_EXPIRED, false, (struct str){0});
+		bury(node, job);
+		release_slot(node, target);
+	} else if (!job->cancelled && !job->is_entry) {
+		reply(node, job, ERR_DEADLINE, true, (struct str){0});
+		job->deadline = node->now + GRACE_US;
+		cancel_running(node, job);
+	}
+}
+
+void gate_timer(struct node *node, uint64_t key)
+{
+	struct target *target =
+		apr_hash_get(node->gate->targets, &key, sizeof(key));
+
+	if (!target || !target->probing)
+		return;
+	if (!target->owned || (!target->down && !target->draining)) {
+		target->probing = false;
+		return;
+	}
+
+	struct effect *fx = effects_add(node->fx, FX_FETCH);
+
+	fx->id = key;
+	fx->fetch = FETCH_HEALTH;
+	fx->addr = str_dup(node->fx->pool, target->addr);
+	fx->wait_us = PROBE_WAIT_US;
+	node->counters[CNT_TARGET_PROBES]++;
+}
+
+/* Ownership. */
+
+static void gain(struct node *node, struct target *target)
+{
+	target->owned = true;
+	target->down = false;
+	target->draining = false;
+	target->foreign = 0;
+	target->boot = 0;
+	target->broken = 0;
+	target->hold_us = HOLD_MIN_US;
+	target->probe_us = PROBE_MIN_US;
+	target->cold = 0;
+	target->streak = 0;
+	/*
+	 * Another gate may still send to the target for as long as the views
+	 * differ, and nothing is known of its state. One request at a time
+	 * bounds what the overlap can add to the other gate's work.
+	 */
+	target->limit = node->opt.off.no_ramp ? target->slots : FLOOR;
+	target->step_at = node->now;
+	node->counters[CNT_GATES_GAINED]++;
+}
+
+static void lose(struct node *node, struct target *target)
+{
+	target->owned = false;
+	node->counters[CNT_GATES_LOST]++;
+	refuse_all(node, target, ERR_NOT_OWNER);
+}
+
+static void review_owner(struct node *node, struct target *target)
+{
+	struct vm *owner = NULL;
+
+	if (target->listed)
+		owner = member_owner(node, target->key, target->domain);
+
+	bool own = owner && owner->key == node->key;
+
+	if (own && !target->owned)
+		gain(node, target);
+	else if (!own && target->owned)
+		lose(node, target);
+}
+
+static struct target *target_get(struct node *node,
+				 const struct fleet_target *listed)
+{
+	struct gate *gate = node->gate;
+	struct target *target =
+		apr_hash_get(gate->targets, &listed->key, sizeof(listed->key));
+
+	if (!target) {
+		target = xcalloc(1, sizeof(*target));
+		target->key = listed->key;
+		target->name = keep_str(listed->name);
+		apr_hash_set(gate->targets, &target->key, sizeof(target->key),
+			     target);
+	}
+	return target;
+}
+
+static void list_target(struct node *node, const struct fleet_target *listed)
+{
+	struct target *target = target_get(node, listed);
+	bool was_out = target->domain_out;
+
+	if (!str_eq(target->addr, listed->addr)) {
+		free((char *)target->addr.ptr);
+		target->addr = keep_str(listed->addr);
+		target->boot = 0;
+		target->limit = FLOOR;
+	}
+	free((char *)target->domain.ptr);
+	target->domain = keep_str(listed->domain->name);
+	target->slots = listed->slots;
+	if (target->limit > target->slots)
+		target->limit = target->slots;
+	target->listed = true;
+	target->listed_leaving = listed->leaving;
+	target->domain_out = listed->domain->out;
+	/* A domain that returns has lost its caches: all of it is cold. */
+	if (was_out && !target->domain_out && target->owned)
+		set_cold(node, target, "its failure domain returned");
+}
+
+static void each_target(struct node *node,
+			void (*fn)(struct node *node, struct target *target))
+{
+	apr_pool_t *pool;
+	apr_hash_index_t *it;
+
+	apr_pool_create(&pool, node->gate->pool);
+	for (it = apr_hash_first(pool, node->gate->targets); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		fn(node, value);
+	}
+	apr_pool_destroy(pool);
+}
+
+static void unlist(struct node *node, struct target *target)
+{
+	(void)node;
+	target->listed = false;
+}
+
+static void drop_unlisted(struct node *node, struct target *target)
+{
+	if (target->listed || target->jobs)
+		return;
+	apr_hash_set(node->gate->targets, &target->key, sizeof(target->key),
+		     NULL);
+	target_free(target);
+}
+
+void gate_view_changed(struct node *node)
+{
+	each_target(node, unlist);
+	for (size_t i = 0; node->fleet && i < node->fleet->ntargets; i++)
+		list_target(node, &node->fleet->targets[i]);
+	each_target(node, review_owner);
+	each_target(node, pump);
+	each_target(node, drop_unlisted);
+}
+
+void gate_resume(struct node *node)
+{
+	each_target(node, pump);
+}
+
+static const char *target_state(const struct target *target)
+{
+	if (target->domain_out)
+		return "domain_out";
+	if (target->listed_leaving || target->draining)
+		return "leaving";
+	if (target->down)
+		return "down";
+	return target->limit < target->slots ? "cold" : "warm";
+}
+
+static void target_json(const struct target *target, struct buf *out)
+{
+	buf_str_add(out, STR("{\"target\":"));
+	buf_json_add(out, target->name);
+	buf_str_add(out, STR(",\"domain\":"));
+	buf_json_add(out, target->domain);
+	buf_printf(out, ",\"state\":\"%s\",\"limit\":%d,\"slots\":%d",
+		   target_state(target), target->limit, target->slots);
+	buf_printf(out, ",\"busy\":%d,\"queued\":%zu,\"requests\":%llu",
+		   target->busy, target->queued,
+		   (unsigned long long)target->requests);
+	buf_printf(out, ",\"refused\":%llu,\"cold_starts\":%llu}",
+		   (unsigned long long)target->refused,
+		   (unsigned long long)target->cold);
+}
+
+void gate_json(const struct node *node, struct buf *out)
+{
+	apr_hash_index_t *it;
+	bool first = true;
+
+	buf_add(out, "[", 1);
+	for (it = apr_hash_first(NULL, node->gate->targets); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+
+		apr_hash_this(it, NULL, NULL, &value);
+
+		const struct target *target = value;
+
+		if (!target->owned)
+			continue;
+		if (!first)
+			buf_add(out, ",", 1);
+		first = false;
+		target_json(target, out);
+	}
+	buf_add(out, "]", 1);
+}
--- /dev/null
+++ b/gate.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "member.h"
+
+/**
+ * DOC: gate
+ *
+ * The node that owns a target is the one place that sends it work. It meters
+ * the target's slots, starts it as cold, raises the limit on timely answers
+ * only, queues no longer than a request can wait, and refuses the rest at
+ * once with a reason and whether the target may have seen the request.
+ */
+
+enum job_state {
+	JOB_QUEUED,
+	JOB_GRANTED, /* an entry holds a slot, its body has not come yet */
+	JOB_RUNNING,
+	JOB_DONE, /* an entry's tombstone */
+};
+
+/**
+ * struct job - one request of a front, from its arrival to its reply
+ * @number: number of the fetch, echoed by the target
+ * @origin, @incarnation, @id, @attempt: who asked, as a key for replies
+ * @is_entry: runs in two steps and never twice
+ * @deadline: no start after this time, microseconds
+ * @cancelled: the front gave up; the slot stays taken until the target ends
+ * @replied: the front has its reply
+ */
+struct job {
+	struct job *next;
+	uint64_t number;
+	uint64_t origin;
+	uint64_t incarnation;
+	uint64_t id;
+	uint32_t attempt;
+	struct str addr;
+	bool is_entry;
+	enum job_state state;
+	struct target *target;
+	uint32_t shard;
+	uint64_t version;
+	struct str index;
+	struct str terms;
+	int64_t queued_at;
+	int64_t started_at;
+	int64_t deadline;
+	bool cancelled;
+	bool replied;
+};
+
+/**
+ * struct target - a target as its gate sees it
+ * @owned: this node is its gate
+ * @limit: requests that may be in progress, 1 to slots
+ * @busy: slots taken, by running and granted jobs
+ * @foreign: requests of others that the target reported
+ * @boot: boot id of its last reply
+ * @streak: timely answers since the last step of the ramp
+ * @step_at: time of the last step or fall
+ * @hold_us: shortest time between steps; grows with each relapse
+ * @baseline_us: smoothed service time when warm
+ * @slow: answers in a row far over the baseline
+ * @sheds: shedding replies in a row
+ * @jobs: jobs that point here, tombstones too
+ * @down: unreachable; @draining: says that it leaves. Probed, not used.
+ */
+struct target {
+	uint64_t key;
+	struct str name;
+	struct str addr;
+	struct str domain;
+	int slots;
+	bool listed;
+	bool listed_leaving;
+	bool domain_out;
+	bool owned;
+	int limit;
+	int busy;
+	int foreign;
+	uint64_t boot;
+	int streak;
+	int64_t step_at;
+	int64_t hold_us;
+	int64_t baseline_us;
+	int slow;
+	int sheds;
+	int broken;
+	bool down;
+	bool draining;
+	bool probing;
+	int64_t probe_us;
+	struct job *head;
+	struct job *tail;
+	size_t queued;
+	size_t jobs;
+	uint64_t requests;
+	uint64_t refused;
+	uint64_t cold;
+};
+
+struct gate {
+	apr_hash_t *targets; /* key -> struct target */
+	apr_hash_t *numbers; /* number -> struct job */
+	apr_hash_t *keys; /* origin, incarnation, id, attempt -> job */
+	size_t open;
+	apr_pool_t *pool;
+};
+
+void gate_init(struct node *node);
+void gate_destroy(struct node *node);
+void gate_view_changed(struct node *node);
+void gate_leaf(struct node *node, struct str from, uint64_t incarnation,
+	       const struct msg *msg);
+void gate_reserve(struct node *node, struct str from, uint64_t incarnation,
+		  const struct msg *msg);
+void gate_go(struct node *node, struct str from, uint64_t incarnation,
+	     const struct msg *msg);
+/** gate_cancel() - CANCEL of a leaf request or RELEASE of a reservation. */
+void gate_cancel(struct node *node, struct str from, uint64_t incarnation,
+		 const struct msg *msg);
+void gate_fetched(struct node *node, uint64_t number,
+		  const struct fetched *fetched);
+void gate_timer(struct node *node, uint64_t key);
+void gate_job_timer(struct node *node, uint64_t number);
+/** gate_origin_lost() - a front is gone: drop what it waits for. */
+void gate_origin_lost(struct node *node, uint64_t origin, uint64_t incarnation);
+/** gate_resume() - the view is confirmed again: start what waits. */
+void gate_resume(struct node *node);
+/** gate_listed() - target in service by the current documents, or NULL. */
+const struct target *gate_listed(const struct node *node, uint64_t key);
+/** gate_json() - append an array with the targets that this node owns. */
+void gate_json(const struct node *node, struct buf *out);
+size_t gate_open(const struct node *node);
--- /dev/null
+++ b/http.c
@@ -0,0 +1,370 @@
+#include "http.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <microhttpd.h>
+
+#include "config.h"
+#include "xmalloc.h"
+
+enum {
+	CONNECTION_MEMORY = 32 * 1024,
+	CONNECTIONS_MAX = 8192,
+	IDLE_SECONDS = 120,
+};
+
+/** struct pending - a request and what MHD needs for it */
+struct pending {
+	struct http_request req;
+	struct MHD_Connection *conn;
+	struct buf body;
+	struct watch *watch;
+	int dup_fd;
+	bool handed;
+	bool suspended;
+	bool answered;
+	bool aborted;
+	bool too_large;
+	int status;
+	struct buf reply;
+};
+
+struct http_server {
+	struct loop *loop;
+	struct MHD_Daemon *daemon;
+	struct watch *watch;
+	size_t max_body;
+	struct http_handler handler;
+	size_t open;
+	bool ready;
+	bool closing;
+	int quiesced_fd;
+};
+
+static uint64_t last_id;
+
+static void stop_watching(struct pending *p)
+{
+	if (!p->watch)
+		return;
+	loop_del(p->watch);
+	close(p->dup_fd);
+	p->watch = NULL;
+}
+
+static void resume(struct pending *p)
+{
+	stop_watching(p);
+	if (!p->suspended)
+		return;
+	p->suspended = false;
+	p->req.server->ready = true;
+	MHD_resume_connection(p->conn);
+}
+
+void http_reply(struct http_request *req, int status, struct str body)
+{
+	struct pending *p = (struct pending *)req;
+
+	if (p->answered)
+		return;
+	p->answered = true;
+	p->status = status;
+	buf_str_add(&p->reply, body);
+	resume(p);
+}
+
+void http_abort(struct http_request *req)
+{
+	struct pending *p = (struct pending *)req;
+
+	p->answered = true;
+	p->aborted = true;
+	resume(p);
+}
+
+/*
+ * A suspended connection is not polled by MHD, so a caller that went away
+ * would go unnoticed and its leaf work would run on for nobody.
+ */
+static void on_caller(void *ctx, int events)
+{
+	struct pending *p = ctx;
+	char byte;
+	ssize_t got = recv(p->dup_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	(void)events;
+	if (got > 0) {
+		stop_watching(p);
+		return;
+	}
+	if (got < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+
+	struct http_server *server = p->req.server;
+
+	p->answered = true;
+	p->aborted = true;
+	if (server->handler.gone)
+		server->handler.gone(server->handler.ctx, &p->req);
+	resume(p);
+}
+
+static void watch_caller(struct pending *p)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		p->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	/* A descriptor of our own: MHD has its socket in a set already. */
+	p->dup_fd = info ? dup(info->connect_fd) : -1;
+	if (p->dup_fd < 0)
+		return;
+	p->watch = loop_add(p->req.server->loop, p->dup_fd, APR_POLLIN,
+			    on_caller, p);
+}
+
+static enum MHD_Result queue_reply(struct pending *p)
+{
+	enum MHD_Result result;
+	struct MHD_Response *response;
+
+	if (p->aborted)
+		return MHD_NO;
+	response = MHD_create_response_from_buffer(p->reply.len, p->reply.ptr,
+						   MHD_RESPMEM_MUST_COPY);
+	MHD_add_response_header(response, "Content-Type", "application/json");
+	if (p->req.server->closing || p->too_large)
+		MHD_add_response_header(response, "Connection", "close");
+	result = MHD_queue_response(p->conn, (unsigned int)p->status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+/* MHD keeps one pointer for us per connection: set once it has been used. */
+static bool is_first(struct MHD_Connection *conn)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	bool *used = info ? info->socket_context : NULL;
+	bool first = used && !*used;
+
+	if (used)
+		*used = true;
+	return first;
+}
+
+static void on_connection(void *ctx, struct MHD_Connection *conn, void **state,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	(void)ctx;
+	(void)conn;
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		*state = xcalloc(1, sizeof(bool));
+		return;
+	}
+	free(*state);
+	*state = NULL;
+}
+
+static struct pending *pending_create(struct http_server *server,
+				      struct MHD_Connection *conn,
+				      const char *method, const char *path)
+{
+	struct pending *p = xcalloc(1, sizeof(*p));
+	const char *remaining = MHD_lookup_connection_value(
+		conn, MHD_HEADER_KIND, "X-Remaining-Ms");
+
+	p->conn = conn;
+	p->req.id = ++last_id;
+	p->req.server = server;
+	p->req.method = str_of(method);
+	p->req.path = str_of(path);
+	p->req.first = is_first(conn);
+	p->req.remaining_ms = remaining ? strtoll(remaining, NULL, 10) : -1;
+	server->open++;
+	return p;
+}
+
+static void hand_over(struct pending *p)
+{
+	struct http_server *server = p->req.server;
+
+	p->handed = true;
+	if (p->too_large) {
+		struct buf out = {0};
+
+		error_json(&out, ERR_TOO_LARGE, "body", 0);
+		http_reply(&p->req, error_info(ERR_TOO_LARGE)->status,
+			   buf_str(&out));
+		buf_free(&out);
+		return;
+	}
+	p->req.body = buf_str(&p->body);
+	server->handler.request(server->handler.ctx, &p->req);
+}
+
+static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
+				  const char *path, const char *method,
+				  const char *version, const char *data,
+				  size_t *size, void **state)
+{
+	struct http_server *server = ctx;
+	struct pending *p = *state;
+
+	(void)version;
+	if (!p) {
+		*state = pending_create(server, conn, method, path);
+		return MHD_YES;
+	}
+	if (*size) {
+		if (p->body.len + *size > server->max_body)
+			p->too_large = true;
+		else
+			buf_add(&p->body, data, *size);
+		*size = 0;
+		return MHD_YES;
+	}
+	if (!p->handed)
+		hand_over(p);
+	if (p->answered)
+		return queue_reply(p);
+	if (!p->suspended) {
+		p->suspended = true;
+		MHD_suspend_connection(conn);
+		watch_caller(p);
+	}
+	return MHD_YES;
+}
+
+static void on_completed(void *ctx, struct MHD_Connection *conn, void **state,
+			 enum MHD_RequestTerminationCode code)
+{
+	struct http_server *server = ctx;
+	struct pending *p = *state;
+
+	(void)conn;
+	(void)code;
+	if (!p)
+		return;
+	stop_watching(p);
+	if (p->handed && !p->answered && server->handler.gone)
+		server->handler.gone(server->handler.ctx, &p->req);
+	buf_free(&p->body);
+	buf_free(&p->reply);
+	free(p);
+	server->open--;
+	*state = NULL;
+}
+
+static void run(void *ctx)
+{
+	struct http_server *server = ctx;
+	MHD_UNSIGNED_LONG_LONG ms = 1;
+
+	MHD_get_timeout(server->daemon, &ms);
+	if (server->ready || !ms)
+		MHD_run(server->daemon);
+	server->ready = false;
+}
+
+static void on_ready(void *ctx, int events)
+{
+	struct http_server *server = ctx;
+
+	(void)events;
+	server->ready = true;
+}
+
+static int64_t wait_us(void *ctx)
+{
+	struct http_server *server = ctx;
+	MHD_UNSIGNED_LONG_LONG ms;
+
+	if (server->ready)
+		return 0;
+	if (MHD_get_timeout(server->daemon, &ms) != MHD_YES)
+		return -1;
+	return (int64_t)ms * 1000;
+}
+
+struct http_server *http_listen(struct loop *loop, struct str addr,
+				size_t max_body, struct http_handler handler,
+				struct error *err)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	struct http_server *server;
+	char ip[INET_ADDRSTRLEN];
+	uint16_t port;
+
+	if (addr_split(addr, ip, sizeof(ip), &port)) {
+		error_set(err, ERR_IO, "%.*s is no \"ip:port\"", STR_ARG(addr));
+		return NULL;
+	}
+	inet_pton(AF_INET, ip, &sin.sin_addr);
+	sin.sin_port = htons(port);
+	server = xcalloc(1, sizeof(*server));
+	server->loop = loop;
+	server->max_body = max_body;
+	server->handler = handler;
+	server->quiesced_fd = -1;
+	server->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, port, NULL, NULL,
+		on_request, server, MHD_OPTION_SOCK_ADDR, &sin,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+		MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTIONS_MAX,
+		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_SECONDS,
+		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+	if (!server->daemon) {
+		error_set(err, ERR_IO, "cannot listen on %.*s: %s",
+			  STR_ARG(addr), strerror(errno));
+		free(server);
+		return NULL;
+	}
+
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+
+	server->watch =
+		loop_add(loop, info->epoll_fd, APR_POLLIN, on_ready, server);
+	loop_hook(loop, (struct loop_hook){run, wait_us, server});
+	return server;
+}
+
+struct str http_query(struct http_request *req, const char *key)
+{
+	struct pending *p = (struct pending *)req;
+
+	return str_of(MHD_lookup_connection_value(p->conn,
+						  MHD_GET_ARGUMENT_KIND, key));
+}
+
+void http_closing(struct http_server *server, bool closing)
+{
+	server->closing = closing;
+}
+
+void http_quiesce(struct http_server *server)
+{
+	if (server->quiesced_fd < 0)
+		server->quiesced_fd = MHD_quiesce_daemon(server->daemon);
+}
+
+size_t http_open(const struct http_server *server)
+{
+	return server->open;
+}
+
+void http_destroy(struct http_server *server)
+{
+	loop_del(server->watch);
+	MHD_stop_daemon(server->daemon);
+	if (server->quiesced_fd >= 0)
+		close(server->quiesced_fd);
+	free(server);
+}
--- /dev/null
+++ b/http.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "error.h"
+#include "loop.h"
+
+/**
+ * DOC: HTTP server
+ *
+ * libmicrohttpd in the event loop. A request is handed over whole, and may be
+ * answered at once or later.
+ */
+
+struct http_server;
+
+/**
+ * struct http_request - a caller's request, from its last byte to its answer
+ * @id: unique within the process
+ * @method, @path, @body: as received
+ * @first: first request of its connection
+ * @remaining_ms: of the X-Remaining-Ms header, -1 when there is none
+ */
+struct http_request {
+	uint64_t id;
+	struct str method;
+	struct str path;
+	struct str body;
+	bool first;
+	int64_t remaining_ms;
+	struct http_server *server;
+};
+
+/**
+ * struct http_handler - what the owner of a server does
+ * @request: a whole request; answer it with http_reply(), now or later
+ * @gone: the peer closed before the answer; do not answer any more
+ */
+struct http_handler {
+	void (*request)(void *ctx, struct http_request *req);
+	void (*gone)(void *ctx, struct http_request *req);
+	void *ctx;
+};
+
+struct http_server *http_listen(struct loop *loop, struct str addr,
+				size_t max_body, struct http_handler handler,
+				struct error *err);
+void http_reply(struct http_request *req, int status, struct str body);
+/** http_abort() - close the connection without an answer. */
+void http_abort(struct http_request *req);
+/** http_query() - value of a query parameter; empty when absent. */
+struct str http_query(struct http_request *req, const char *key);
+/** http_closing() - tell clients to close after each answer. */
+void http_closing(struct http_server *server, bool closing);
+/** http_quiesce() - accept no further connections. */
+void http_quiesce(struct http_server *server);
+size_t http_open(const struct http_server *server);
+void http_destroy(struct http_server *server);
--- /dev/null
+++ b/json.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <jansson.h>
+
+#include "error.h"
+
+/**
+ * struct json_in - a document under judgement
+ * @file: name for messages
+ * @code: ERR_SETTINGS, ERR_LIST or ERR_BAD_REQUEST, used for every fault
+ * @err: first fault; err.code is 0 while there is none
+ */
+struct json_in {
+	const char *file;
+	int code;
+	struct error err;
+};
+
+/** json_fault() - record the first fault at @place; later ones are dropped. */
+void json_fault(struct json_in *in, const char *place, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+/** json_parse() - parse a whole text; duplicate keys are a fault. */
+json_t *json_parse(struct json_in *in, struct str text);
+
+/** json_keys() - every key of @obj must be in @known (NULL-ended). */
+void json_keys(struct json_in *in, const char *place, json_t *obj,
+	       const char *const *known);
+
+/* Typed fields. A required field that is absent is a fault. */
+int64_t json_int(struct json_in *in, const char *place, json_t *obj,
+		 const char *key, int64_t min, int64_t max);
+int64_t json_int_or(struct json_in *in, const char *place, json_t *obj,
+		    const char *key, int64_t min, int64_t max, int64_t other);
+double json_real_or(struct json_in *in, const char *place, json_t *obj,
+		    const char *key, double min, double max, double other);
+struct str json_text(struct json_in *in, const char *place, json_t *obj,
+		     const char *key, size_t max);
+/** json_list() - an array, or NULL after a fault. */
+json_t *json_list(struct json_in *in, const char *place, json_t *obj,
+		  const char *key, size_t max);
+/** json_strings() - array of unique strings, copied to @pool. */
+struct str *json_strings(struct json_in *in, const char *place, json_t *obj,
+			 const char *key, apr_pool_t *pool, size_t *count);
--- /dev/null
+++ b/latency.c
@@ -0,0 +1,51 @@
+#include "latency.h"
+
+enum {
+	PER_OCTAVE = 4,
+	ENOUGH = 64
+};
+
+static int bucket_of(int64_t us)
+{
+	uint64_t value = us < 4 ? 4 : (uint64_t)us;
+	int octave = 63 - __builtin_clzll(value);
+	int part = (int)(value >> (octave - 2)) & (PER_OCTAVE - 1);
+	int bucket = (octave - 2) * PER_OCTAVE + part;
+
+	return bucket < LATENCY_BUCKETS ? bucket : LATENCY_BUCKETS - 1;
+}
+
+static int64_t upper_edge(int bucket)
+{
+	int octave = bucket / PER_OCTAVE + 2;
+	int part = bucket % PER_OCTAVE;
+
+	return (int64_t)(PER_OCTAVE + part + 1) << (octave - 2);
+}
+
+void latency_add(struct latency *latency, int64_t us)
+{
+	latency->buckets[bucket_of(us)]++;
+	if (++latency->total < LATENCY_WINDOW)
+		return;
+	latency->total = 0;
+	for (int i = 0; i < LATENCY_BUCKETS; i++) {
+		latency->buckets[i] /= 2;
+		latency->total += latency->buckets[i];
+	}
+}
+
+int64_t latency_quantile(const struct latency *latency, double q)
+{
+	uint32_t below = (uint32_t)(q * latency->total);
+	uint32_t seen = 0;
+
+	if (latency->total < ENOUGH)
+		return 0;
+	for (int i = 0; i < LATENCY_BUCKETS; i++) {
+		seen += latency->buckets[i];
+		if (seen > below)
+			return upper_edge(i);
+	}
+	return upper_edge(LATENCY_BUCKETS - 1);
+}
--- /dev/null
+++ b/latency.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <stdint.h>
+
+/**
+ * struct latency - histogram of recent latencies, microseconds
+ *
+ * Four buckets an octave, halved every LATENCY_WINDOW values, so that it
+ * follows the present within a few thousand leaf requests.
+ */
+enum {
+	LATENCY_BUCKETS = 96,
+	LATENCY_WINDOW = 4096
+};
+
+struct latency {
+	uint32_t buckets[LATENCY_BUCKETS];
+	uint32_t total;
+};
+
+void latency_add(struct latency *latency, int64_t us);
+/** latency_quantile() - upper edge of the bucket at @q; 0 when too few. */
+int64_t latency_quantile(const struct latency *latency, double q);
--- /dev/null
+++ b/loop.c
@@ -0,0 +1,181 @@
+#include "loop.h"
+
+#include <stdlib.h>
+#include <time.h>
+
+#include <apr_portable.h>
+
+#include "xmalloc.h"
+
+enum {
+	MAX_FDS = 16384,
+	MAX_HOOKS = 256,
+	MAX_WAIT_US = 100000,
+};
+
+struct watch {
+	struct loop *loop;
+	apr_pool_t *pool;
+	apr_socket_t *sock;
+	int events;
+	bool dead;
+	void (*fn)(void *ctx, int events);
+	void *ctx;
+	struct watch *next_dead;
+};
+
+struct loop {
+	apr_pool_t *pool;
+	apr_pollset_t *set;
+	struct loop_hook hooks[MAX_HOOKS];
+	int nhooks;
+	struct watch *dead;
+	bool stopped;
+};
+
+int64_t loop_now(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
+}
+
+struct loop *loop_create(apr_pool_t *parent)
+{
+	apr_pool_t *pool;
+	struct loop *loop;
+
+	apr_pool_create(&pool, parent);
+	loop = apr_pcalloc(pool, sizeof(*loop));
+	loop->pool = pool;
+	if (apr_pollset_create_ex(&loop->set, MAX_FDS, pool, 0,
+				  APR_POLLSET_EPOLL))
+		abort();
+	return loop;
+}
+
+static void bury_dead(struct loop *loop)
+{
+	while (loop->dead) {
+		struct watch *watch = loop->dead;
+
+		loop->dead = watch->next_dead;
+		apr_pool_destroy(watch->pool);
+		free(watch);
+	}
+}
+
+void loop_destroy(struct loop *loop)
+{
+	bury_dead(loop);
+	apr_pollset_destroy(loop->set);
+	apr_pool_destroy(loop->pool);
+}
+
+static apr_pollfd_t poll_fd(struct watch *watch)
+{
+	return (apr_pollfd_t){
+		.p = watch->pool,
+		.desc_type = APR_POLL_SOCKET,
+		.reqevents = (apr_int16_t)watch->events,
+		.desc.s = watch->sock,
+		.client_data = watch,
+	};
+}
+
+struct watch *loop_add(struct loop *loop, int fd, int events,
+		       void (*fn)(void *ctx, int events), void *ctx)
+{
+	struct watch *watch = xcalloc(1, sizeof(*watch));
+	apr_os_sock_t raw = fd;
+
+	watch->loop = loop;
+	watch->events = events;
+	watch->fn = fn;
+	watch->ctx = ctx;
+	apr_pool_create(&watch->pool, loop->pool);
+	apr_os_sock_put(&watch->sock, &raw, watch->pool);
+
+	apr_pollfd_t poll = poll_fd(watch);
+
+	if (apr_pollset_add(loop->set, &poll))
+		abort();
+	return watch;
+}
+
+void loop_set(struct watch *watch, int events)
+{
+	apr_pollfd_t poll = poll_fd(watch);
+
+	if (watch->events == events)
+		return;
+	apr_pollset_remove(watch->loop->set, &poll);
+	watch->events = events;
+	poll = poll_fd(watch);
+	if (apr_pollset_add(watch->loop->set, &poll))
+		abort();
+}
+
+void loop_del(struct watch *watch)
+{
+	apr_pollfd_t poll = poll_fd(watch);
+
+	apr_pollset_remove(watch->loop->set, &poll);
+	watch->dead = true;
+	watch->next_dead = watch->loop->dead;
+	watch->loop->dead = watch;
+}
+
+void loop_hook(struct loop *loop, struct loop_hook hook)
+{
+	if (loop->nhooks == MAX_HOOKS)
+		abort();
+	loop->hooks[loop->nhooks++] = hook;
+}
+
+static int64_t wait_time(const struct loop *loop)
+{
+	int64_t least = MAX_WAIT_US;
+
+	for (int i = 0; i < loop->nhooks; i++) {
+		int64_t wait =
+			loop->hooks[i].wait_us
+				? loop->hooks[i].wait_us(loop->hooks[i].ctx)
+				: -1;
+
+		if (wait >= 0 && wait < least)
+			least = wait;
+	}
+	return least;
+}
+
+void loop_step(struct loop *loop)
+{
+	const apr_pollfd_t *ready;
+	apr_int32_t count = 0;
+
+	if (apr_pollset_poll(loop->set, wait_time(loop), &count, &ready))
+		count = 0;
+	for (apr_int32_t i = 0; i < count; i++) {
+		struct watch *watch = ready[i].client_data;
+
+		if (!watch->dead)
+			watch->fn(watch->ctx, ready[i].rtnevents);
+	}
+	for (int i = 0; i < loop->nhooks; i++)
+		if (loop->hooks[i].run)
+			loop->hooks[i].run(loop->hooks[i].ctx);
+	bury_dead(loop);
+}
+
+void loop_run(struct loop *loop)
+{
+	while (!loop->stopped)
+		loop_step(loop);
+}
+
+void loop_stop(struct loop *loop)
+{
+	loop->stopped = true;
+}
--- /dev/null
+++ b/member.c
@@ -0,0 +1,482 @@
+#include "member.h"
+
+#include <stdlib.h>
+
+#include <xxhash.h>
+
+#include "conf.h"
+#include "front.h"
+#include "gate.h"
+#include "once.h"
+#include "xmalloc.h"
+
+enum {
+	CONFIRM_US = 1000000,
+	FORGET_US = 30000000,
+};
+
+static struct vm *vm_add(struct node *node, struct str addr)
+{
+	struct member *member = node->member;
+	struct vm *vm = xcalloc(1, sizeof(*vm));
+	char *copy = xmalloc(addr.len + 1);
+
+	memcpy(copy, addr.ptr, addr.len);
+	copy[addr.len] = '\0';
+	vm->addr = (struct str){copy, addr.len};
+	vm->key = str_hash(addr);
+	vm->heard_at = INT64_MIN;
+	vm->known_at = node->now;
+	if (member->count == member->cap) {
+		member->cap = member->cap ? member->cap * 2 : 16;
+		member->vms = xrealloc(member->vms,
+				       member->cap * sizeof(*member->vms));
+	}
+	member->vms[member->count++] = vm;
+	return vm;
+}
+
+static void vm_free(struct vm *vm)
+{
+	free((char *)vm->domain.ptr);
+	free((char *)vm->addr.ptr);
+	free(vm);
+}
+
+static void vm_set_domain(struct vm *vm, struct str domain)
+{
+	if (str_eq(vm->domain, domain))
+		return;
+
+	char *copy = xmalloc(domain.len + 1);
+
+	memcpy(copy, domain.ptr, domain.len);
+	copy[domain.len] = '\0';
+	free((char *)vm->domain.ptr);
+	vm->domain = (struct str){copy, domain.len};
+}
+
+struct vm *member_find(const struct node *node, uint64_t key)
+{
+	for (size_t i = 0; i < node->member->count; i++)
+		if (node->member->vms[i]->key == key)
+			return node->member->vms[i];
+	return NULL;
+}
+
+static struct vm *vm_get(struct node *node, struct str addr)
+{
+	struct vm *vm = member_find(node, str_hash(addr));
+
+	return vm ? vm : vm_add(node, addr);
+}
+
+static bool is_heard(const struct node *node, const struct vm *vm)
+{
+	return vm == node->member->vms[0] ||
+	       (vm->heard_at != INT64_MIN &&
+		node->now - vm->heard_at <= SUSPECT_US);
+}
+
+bool member_usable(const struct node *node, const struct vm *vm)
+{
+	return is_heard(node, vm) && vm->state == VM_LIVE &&
+	       !vm->listed_leaving && !vm->domain_out;
+}
+
+static uint64_t weight(uint64_t key, uint64_t vm)
+{
+	uint64_t pair[2] = {key, vm};
+
+	return XXH64(pair, sizeof(pair), 0);
+}
+
+struct vm *member_owner(const struct node *node, uint64_t key,
+			struct str domain)
+{
+	struct vm *best = NULL;
+	uint64_t best_weight = 0;
+	bool best_near = false;
+
+	for (size_t i = 0; i < node->member->count; i++) {
+		struct vm *vm = node->member->vms[i];
+		bool near = domain.len && str_eq(vm->domain, domain);
+
+		if (!member_usable(node, vm) || (best_near && !near))
+			continue;
+
+		uint64_t w = weight(key, vm->key);
+
+		if (best && near == best_near && w <= best_weight)
+			continue;
+		best = vm;
+		best_weight = w;
+		best_near = near;
+	}
+	return best;
+}
+
+size_t member_rank(const struct node *node, uint64_t key)
+{
+	uint64_t own = weight(key, node->key);
+	size_t rank = 0;
+
+	for (size_t i = 1; i < node->member->count; i++)
+		if (member_usable(node, node->member->vms[i]) &&
+		    weight(key, node->member->vms[i]->key) > own)
+			rank++;
+	return rank;
+}
+
+size_t member_count(const struct node *node)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < node->member->count; i++)
+		if (member_usable(node, node->member->vms[i]))
+			count++;
+	return count ? count : 1;
+}
+
+void member_init(struct node *node)
+{
+	struct member *member = xcalloc(1, sizeof(*member));
+
+	node->member = member;
+	member->view_ok = true;
+	member->fresh_at = INT64_MIN;
+
+	struct vm *self = vm_add(node, node->opt.addr);
+
+	self->incarnation = node->opt.incarnation;
+	self->state = VM_STARTING;
+	vm_set_domain(self, node->opt.domain);
+	for (size_t i = 0; i < node->opt.npeers; i++)
+		vm_get(node, node->opt.peers[i]);
+	timer_add(&node->timers, node->now, TIMER_HEARTBEAT, 0);
+}
+
+void member_destroy(struct node *node)
+{
+	for (size_t i = 0; i < node->member->count; i++)
+		vm_free(node->member->vms[i]);
+	free(node->member->vms);
+	free(node->member);
+}
+
+static int64_t fresh_age(const struct node *node)
+{
+	if (node->member->fresh_at == INT64_MIN)
+		return INT64_MAX / 2;
+	return node->now - node->member->fresh_at;
+}
+
+static struct msg heartbeat_msg(const struct node *node)
+{
+	struct msg msg = {
+		.kind = MSG_HEARTBEAT,
+		.state = node->member->vms[0]->state,
+		.fresh_us = fresh_age(node),
+		.name = node->opt.domain,
+	};
+
+	if (node->lists) {
+		msg.version = node->lists->version;
+		msg.hash = node->lists->hash;
+	}
+	if (node->fleet) {
+		msg.version2 = node->fleet->version;
+		msg.hash2 = node->fleet->hash;
+	}
+	return msg;
+}
+
+static void send_heartbeats(struct node *node)
+{
+	struct msg msg = heartbeat_msg(node);
+
+	for (size_t i = 1; i < node->member->count; i++)
+		node_send(node, node->member->vms[i]->addr, 0, &msg);
+	node->counters[CNT_HEARTBEATS] += node->member->count - 1;
+}
+
+static bool is_seed(const struct node *node, const struct vm *vm)
+{
+	for (size_t i = 0; i < node->opt.npeers; i++)
+		if (str_eq(node->opt.peers[i], vm->addr))
+			return true;
+	return false;
+}
+
+/* A VM that nobody lists any more and that is silent is of no use. */
+static void forget_vms(struct node *node)
+{
+	struct member *member = node->member;
+
+	for (size_t i = member->count; i-- > 1;) {
+		struct vm *vm = member->vms[i];
+
+		if (vm->listed || is_seed(node, vm) || is_heard(node, vm) ||
+		    node->now - vm->known_at < FORGET_US)
+			continue;
+		vm_free(vm);
+		member->vms[i] = member->vms[--member->count];
+	}
+}
+
+static void vm_gone(struct node *node, struct vm *vm)
+{
+	uint64_t incarnation = vm->incarnation;
+
+	if (vm->heard_at == INT64_MIN)
+		return;
+	vm->heard_at = INT64_MIN;
+	node->member->epoch++;
+	vm->departed = vm->state == VM_LEAVING;
+	node_audit(node, "vm", vm->addr, STR("lost"),
+		   vm->departed ? "left" : "no heartbeat", incarnation);
+	front_gate_lost(node, vm->key, incarnation);
+	once_peer_lost(node, vm->key, incarnation);
+	gate_origin_lost(node, vm->key, incarnation);
+}
+
+static void sweep(struct node *node)
+{
+	bool changed = false;
+
+	for (size_t i = 1; i < node->member->count; i++) {
+		struct vm *vm = node->member->vms[i];
+
+		if (vm->heard_at == INT64_MIN || is_heard(node, vm))
+			continue;
+		vm_gone(node, vm);
+		changed = true;
+	}
+	forget_vms(node);
+	if (changed)
+		node_view_changed(node);
+}
+
+/*
+ * A node that hears neither the platform nor half of the VMs may have missed
+ * that a failure domain was taken out. The symptom would be new work in that
+ * domain for as long as the cut lasts. With the platform down for everyone the
+ * others are still heard, and service goes on.
+ */
+static bool is_cut_off(const struct node *node)
+{
+	size_t known = 1;
+	size_t heard = 1;
+
+	if (fresh_age(node) <= STALE_US)
+		return false;
+	for (size_t i = 1; i < node->member->count; i++) {
+		const struct vm *vm = node->member->vms[i];
+
+		if (vm->departed || (!vm->listed && !is_heard(node, vm)))
+			continue;
+		known++;
+		if (is_heard(node, vm))
+			heard++;
+	}
+	return heard * 2 < known;
+}
+
+static void note_isolation(struct node *node)
+{
+	bool isolated = is_cut_off(node);
+
+	if (isolated == node->member->isolated)
+		return;
+	node->member->isolated = isolated;
+	node_audit(node, "isolated", isolated ? STR("no") : STR("yes"),
+		   isolated ? STR("yes") : STR("no"),
+		   "platform silent and most VMs unheard", 0);
+	if (!isolated)
+		gate_resume(node);
+}
+
+void member_heartbeat(struct node *node)
+{
+	send_heartbeats(node);
+	sweep(node);
+	note_isolation(node);
+	timer_add(&node->timers, node->now + HEARTBEAT_US, TIMER_HEARTBEAT, 0);
+}
+
+static void confirm_view(struct node *node, const char *why)
+{
+	struct member *member = node->member;
+
+	if (member->view_ok)
+		return;
+	member->view_ok = true;
+	note_isolation(node);
+	node_audit(node, "view", STR("old"), STR("confirmed"), why, 0);
+	gate_resume(node);
+}
+
+static void note_fresh(struct node *node, int64_t at)
+{
+	if (at > node->member->fresh_at)
+		node->member->fresh_at = at;
+}
+
+void member_heard(struct node *node, struct str from, uint64_t incarnation,
+		  const struct msg *msg)
+{
+	struct vm *vm = vm_get(node, from);
+	bool was_usable = member_usable(node, vm);
+
+	if (vm == node->member->vms[0])
+		return;
+	if (vm->incarnation && vm->incarnation != incarnation) {
+		vm_gone(node, vm);
+		was_usable = false;
+	}
+	vm->incarnation = incarnation;
+	vm->heard_at = node->now;
+	vm->known_at = node->now;
+	vm->state = msg->state <= VM_LEAVING ? (enum vm_state)msg->state
+					     : VM_LEAVING;
+	vm->departed = vm->state == VM_LEAVING;
+	vm_set_domain(vm, msg->name);
+	if (msg->fresh_us >= 0 && msg->fresh_us < INT64_MAX / 4)
+		note_fresh(node, node->now - msg->fresh_us);
+	/*
+	 * After a pause the socket still holds heartbeats from before it; only
+	 * the answer to a probe sent since then shows that the view is new.
+	 */
+	if (msg->id && msg->id == node->member->nonce)
+		confirm_view(node, "a peer answered");
+	if (was_usable != member_usable(node, vm)) {
+		node_audit(node, "vm", vm->addr,
+			   was_usable ? STR("unusable") : STR("usable"),
+			   "heartbeat", incarnation);
+		node_view_changed(node);
+	}
+	conf_offered(node, vm, DOC_LISTS, msg->version, msg->hash);
+	conf_offered(node, vm, DOC_FLEET, msg->version2, msg->hash2);
+}
+
+void member_probed(struct node *node, struct str from, uint64_t incarnation,
+		   const struct msg *msg)
+{
+	struct msg reply = heartbeat_msg(node);
+	struct msg heard = *msg;
+
+	heard.id = 0;
+	member_heard(node, from, incarnation, &heard);
+	reply.id = msg->id;
+	node_send(node, from, incarnation, &reply);
+}
+
+void member_probe(struct node *node, struct str addr)
+{
+	struct msg msg = heartbeat_msg(node);
+
+	msg.kind = MSG_PROBE;
+	msg.id = node->member->nonce;
+	node_send(node, addr, 0, &msg);
+}
+
+void member_lost(struct node *node, struct str addr)
+{
+	struct vm *vm = member_find(node, str_hash(addr));
+
+	if (!vm || vm == node->member->vms[0] || vm->heard_at == INT64_MIN)
+		return;
+	vm_gone(node, vm);
+	node_view_changed(node);
+}
+
+void member_fleet_changed(struct node *node)
+{
+	const struct fleet *fleet = node->fleet;
+	struct member *member = node->member;
+
+	for (size_t i = 0; i < member->count; i++) {
+		member->vms[i]->listed = false;
+		member->vms[i]->listed_leaving = false;
+		member->vms[i]->domain_out = false;
+	}
+	for (size_t i = 0; i < fleet->nvms; i++) {
+		struct vm *vm = vm_get(node, fleet->vms[i].addr);
+
+		vm->listed = true;
+		vm->listed_leaving = fleet->vms[i].leaving;
+		if (vm != member->vms[0])
+			vm_set_domain(vm, fleet->vms[i].domain->name);
+	}
+	for (size_t i = 0; i < member->count; i++) {
+		struct vm *vm = member->vms[i];
+		struct domain *domain = fleet_domain(fleet, vm->domain);
+
+		vm->domain_out = domain && domain->out;
+	}
+}
+
+void member_set_state(struct node *node, enum vm_state state)
+{
+	static const char *const names[] = {"starting", "live", "leaving"};
+	struct vm *self = node->member->vms[0];
+
+	if (self->state == state)
+		return;
+	node_audit(node, "node", str_of(names[self->state]),
+		   str_of(names[state]), "own state", 0);
+	self->state = state;
+	send_heartbeats(node);
+	node_view_changed(node);
+}
+
+enum vm_state member_state(const struct node *node)
+{
+	return node->member->vms[0]->state;
+}
+
+void member_paused(struct node *node, int64_t gap)
+{
+	struct member *member = node->member;
+
+	node->counters[CNT_PAUSES]++;
+	node_audit(node, "pause", STR("running"), STR("woken"),
+		   "gap between events", (uint64_t)gap);
+	member->view_ok = false;
+	member->nonce = rng_next(&node->rng) | 1;
+	member->confirm_by = node->now + CONFIRM_US;
+	timer_add(&node->timers, member->confirm_by, TIMER_VIEW, member->nonce);
+	for (size_t i = 1; i < member->count; i++)
+		member_probe(node, member->vms[i]->addr);
+	/* Peers were silent only to a sleeper: give them time to be heard. */
+	for (size_t i = 1; i < member->count; i++)
+		if (member->vms[i]->heard_at != INT64_MIN)
+			member->vms[i]->heard_at = node->now;
+	conf_read_now(node);
+}
+
+void member_view_timeout(struct node *node, uint64_t nonce)
+{
+	/*
+	 * Nobody answered: either this node is alone or it is cut off. From
+	 * here on the rule for isolation decides, as for any other node.
+	 */
+	if (nonce == node->member->nonce)
+		confirm_view(node, "nobody answered in time");
+}
+
+void member_platform_read(struct node *node)
+{
+	note_fresh(node, node->now);
+	confirm_view(node, "the platform answered");
+}
+
+bool member_view_ok(const struct node *node)
+{
+	return node->member->view_ok;
+}
+
+bool member_isolated(const struct node *node)
+{
+	return node->member->isolated;
+}
--- /dev/null
+++ b/msg.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "str.h"
+
+/**
+ * enum msg_kind - what one node tells another
+ *
+ * HEARTBEAT carries state and document versions; PROBE asks for one at once.
+ * DOC_GET and DOC spread documents. LEAF, LEAF_REPLY and CANCEL are the path
+ * of a question between front and gate. RESERVE, GRANT, GO and GO_REPLY are
+ * the two steps of an entry; RELEASE gives a reservation back. FORWARD brings
+ * an entry to the issuer of its ticket. LEASE asks for a customer's tokens.
+ */
+enum msg_kind {
+	MSG_NONE,
+	MSG_HEARTBEAT,
+	MSG_PROBE,
+	MSG_DOC_GET,
+	MSG_DOC,
+	MSG_LEAF,
+	MSG_LEAF_REPLY,
+	MSG_CANCEL,
+	MSG_RESERVE,
+	MSG_GRANT,
+	MSG_GO,
+	MSG_GO_REPLY,
+	MSG_RELEASE,
+	MSG_FORWARD,
+	MSG_FORWARD_REPLY,
+	MSG_LEASE,
+	MSG_LEASE_REPLY,
+	MSG_KINDS,
+};
+
+/**
+ * struct msg - one message, decoded; mirrors Msg in wire.proto
+ * @kind: enum msg_kind
+ * @id: question, entry or forward id, unique to the sender's incarnation
+ * @attempt: number of the attempt within @id
+ * @target: hash of the target's name
+ * @shard: shard id in the snapshot @version
+ * @version: snapshot version, or lists version in HEARTBEAT
+ * @remaining_us: time left to the receiver, microseconds
+ * @status: enum error_code
+ * @ran: whether the request may have reached the target
+ * @wait_us: time in the gate's queue, microseconds
+ * @service_us: time from dispatch to reply, microseconds
+ * @doc: enum doc_kind
+ * @hash: hash of a document (of the lists in HEARTBEAT)
+ * @state: enum vm_state of the sender
+ * @fresh_us: age of the newest platform reading known, microseconds
+ * @amount: tokens asked for or lent
+ * @key: ticket sequence or customer hash
+ * @name: customer, index or failure domain
+ * @body: rows, entry or document
+ * @text: terms, request id or reason
+ * @version2: fleet version in HEARTBEAT
+ * @hash2: fleet hash in HEARTBEAT
+ */
+struct msg {
+	uint32_t kind;
+	uint64_t id;
+	uint32_t attempt;
+	uint64_t target;
+	uint32_t shard;
+	uint64_t version;
+	int64_t remaining_us;
+	int32_t status;
+	bool ran;
+	int64_t wait_us;
+	int64_t service_us;
+	uint32_t doc;
+	uint64_t hash;
+	uint32_t state;
+	int64_t fresh_us;
+	double amount;
+	uint64_t key;
+	struct str name;
+	struct str body;
+	struct str text;
+	uint64_t version2;
+	uint64_t hash2;
+};
+
+const char *msg_name(uint32_t kind);
--- /dev/null
+++ b/once.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "ask.h"
+#include "member.h"
+
+/**
+ * DOC: entries that run at most once
+ *
+ * An entry needs a ticket, which names the node incarnation that issued it.
+ * Only that process runs the entry; any other node forwards to it, or answers
+ * "unknown" when it is gone. So two nodes can never both run one entry, also
+ * not while they cannot hear each other. The outcome is done, not run (never
+ * sent and never will be) or unknown, and stays so.
+ */
+
+enum record_state {
+	RECORD_QUOTA, /* waits for a lease of the plan */
+	RECORD_RESERVE, /* a gate was asked for a slot; no body sent */
+	RECORD_SENT, /* the body is on its way: it may run */
+	RECORD_DONE,
+	RECORD_NOT_RUN,
+	RECORD_UNKNOWN,
+};
+
+/** struct waiter - who gets the outcome: a caller here, or another node */
+struct waiter {
+	struct waiter *next;
+	uint64_t caller;
+	struct str addr;
+	uint64_t incarnation;
+	uint64_t forward;
+};
+
+/**
+ * struct record - one used ticket
+ * @seq: number of the ticket
+ * @attempt: reservations tried
+ * @gate, @gate_incarnation: gate of the current attempt
+ * @code: why it did not run or is unknown
+ */
+struct record {
+	apr_pool_t *pool;
+	uint64_t seq;
+	enum record_state state;
+	struct entry entry;
+	struct str request_id;
+	uint64_t customer;
+	uint64_t body_hash;
+	uint32_t attempt;
+	uint64_t gate;
+	uint64_t gate_incarnation;
+	int64_t deadline;
+	int code;
+	int64_t retry_us;
+	struct str result;
+	struct waiter *waiters;
+	struct record *older;
+	struct record *newer;
+};
+
+struct once {
+	apr_pool_t *pool;
+	apr_hash_t *records; /* seq -> struct record */
+	apr_hash_t *forwards; /* id -> struct forward */
+	struct record *oldest;
+	struct record *newest;
+	size_t count;
+	size_t open;
+	size_t unused; /* tickets issued and not used yet */
+	int64_t issued_at; /* last issue */
+	uint64_t first_seq; /* no ticket below was issued here */
+	uint64_t evicted; /* records up to here may have been dropped */
+	uint64_t secret;
+};
+
+void once_init(struct node *node);
+void once_destroy(struct node *node);
+void once_ticket(struct node *node, uint64_t caller, struct str body);
+void once_entry(struct node *node, uint64_t caller, struct str body);
+void once_lookup(struct node *node, uint64_t caller, struct str body);
+void once_caller_gone(struct node *node, uint64_t caller);
+void once_forwarded(struct node *node, struct str from, uint64_t incarnation,
+		    const struct msg *msg);
+void once_forward_reply(struct node *node, struct str from,
+			uint64_t incarnation, const struct msg *msg);
+void once_grant(struct node *node, struct str from, uint64_t incarnation,
+		const struct msg *msg);
+void once_go_reply(struct node *node, struct str from, uint64_t incarnation,
+		   const struct msg *msg);
+void once_peer_lost(struct node *node, uint64_t key, uint64_t incarnation);
+void once_quota(struct node *node, uint64_t seq, bool taken, int64_t retry_us);
+void once_timer(struct node *node, uint64_t seq);
+void once_forward_timer(struct node *node, uint64_t id);
+/** once_open() - records, forwards and tickets that a stop has to wait for. */
+size_t once_open(const struct node *node);
--- /dev/null
+++ b/peer.c
@@ -0,0 +1,378 @@
+#include "peer.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <apr_hash.h>
+
+#include "config.h"
+#include "xmalloc.h"
+
+enum {
+	BACKLOG = 256,
+	READ_SIZE = 64 * 1024,
+	OUT_MAX = 16 * 1024 * 1024,
+	RETRY_US = 100000,
+};
+
+/** struct link - connection to a node, opened by this one */
+struct link {
+	struct peers *peers;
+	struct str addr;
+	uint64_t key;
+	int fd;
+	struct watch *watch;
+	bool connecting;
+	int64_t retry_at;
+	struct buf out;
+	struct msg *queue;
+	size_t queued;
+	size_t cap;
+	uint64_t to;
+};
+
+/** struct inlet - connection that another node opened */
+struct inlet {
+	struct peers *peers;
+	int fd;
+	struct watch *watch;
+	struct buf in;
+	struct inlet *next;
+	struct inlet *prev;
+};
+
+struct peers {
+	struct loop *loop;
+	apr_pool_t *pool;
+	struct str addr;
+	uint64_t incarnation;
+	struct peer_handler handler;
+	int fd;
+	struct watch *watch;
+	apr_hash_t *links;
+	struct inlet *inlets;
+};
+
+static void link_close(struct link *link, bool tell)
+{
+	struct peers *peers = link->peers;
+
+	if (link->fd < 0)
+		return;
+	loop_del(link->watch);
+	close(link->fd);
+	link->fd = -1;
+	link->out.len = 0;
+	link->retry_at = loop_now() + RETRY_US;
+	if (tell)
+		peers->handler.lost(peers->handler.ctx, link->addr);
+}
+
+static void link_write(struct link *link)
+{
+	while (link->out.len) {
+		ssize_t sent = send(link->fd, link->out.ptr, link->out.len,
+				    MSG_NOSIGNAL);
+
+		if (sent > 0) {
+			buf_drop(&link->out, (size_t)sent);
+			continue;
+		}
+		if (errno == EINTR)
+			continue;
+		if (errno != EAGAIN) {
+			link_close(link, true);
+			return;
+		}
+		break;
+	}
+	loop_set(link->watch, APR_POLLIN | (link->out.len ? APR_POLLOUT : 0));
+}
+
+static void on_link(void *ctx, int events)
+{
+	struct link *link = ctx;
+	char byte;
+
+	if (link->connecting) {
+		int fault = 0;
+		socklen_t len = sizeof(fault);
+
+		getsockopt(link->fd, SOL_SOCKET, SO_ERROR, &fault, &len);
+		if (fault || (events & (APR_POLLERR | APR_POLLHUP))) {
+			link_close(link, true);
+			return;
+		}
+		if (!(events & APR_POLLOUT))
+			return;
+		link->connecting = false;
+	}
+	/* Nothing is ever sent back here: readable means closed. */
+	if (events & (APR_POLLIN | APR_POLLERR | APR_POLLHUP)) {
+		ssize_t got = recv(link->fd, &byte, 1, MSG_DONTWAIT);
+
+		if (got >= 0 || (errno != EAGAIN && errno != EINTR)) {
+			link_close(link, true);
+			return;
+		}
+	}
+	link_write(link);
+}
+
+static int open_socket(struct str addr, struct sockaddr_in *sin)
+{
+	char ip[INET_ADDRSTRLEN];
+	uint16_t port;
+	int one = 1;
+	int fd;
+
+	if (addr_split(addr, ip, sizeof(ip), &port))
+		return -1;
+	*sin = (struct sockaddr_in){.sin_family = AF_INET};
+	inet_pton(AF_INET, ip, &sin->sin_addr);
+	sin->sin_port = htons(port);
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd >= 0)
+		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	return fd;
+}
+
+static void link_open(struct link *link)
+{
+	struct sockaddr_in sin;
+
+	if (link->fd >= 0 || loop_now() < link->retry_at)
+		return;
+	link->fd = open_socket(link->addr, &sin);
+	if (link->fd < 0)
+		return;
+	link->connecting = true;
+	link->watch = loop_add(link->peers->loop, link->fd,
+			       APR_POLLIN | APR_POLLOUT, on_link, link);
+	if (connect(link->fd, (struct sockaddr *)&sin, sizeof(sin)) &&
+	    errno != EINPROGRESS)
+		link_close(link, true);
+}
+
+static struct link *link_get(struct peers *peers, struct str addr)
+{
+	uint64_t key = str_hash(addr);
+	struct link *link = apr_hash_get(peers->links, &key, sizeof(key));
+
+	if (link)
+		return link;
+	link = xcalloc(1, sizeof(*link));
+	link->peers = peers;
+	link->addr = str_dup(peers->pool, addr);
+	link->key = key;
+	link->fd = -1;
+	apr_hash_set(peers->links, &link->key, sizeof(link->key), link);
+	return link;
+}
+
+/* Messages for one incarnation share a frame; their order is kept. */
+static void link_encode(struct link *link)
+{
+	struct frame frame = {
+		.from = link->peers->addr,
+		.from_incarnation = link->peers->incarnation,
+		.to_incarnation = link->to,
+		.msgs = link->queue,
+		.count = link->queued,
+	};
+
+	if (!link->queued)
+		return;
+	link_open(link);
+	if (link->fd >= 0)
+		frame_encode(&frame, &link->out);
+	else
+		link->peers->handler.lost(link->peers->handler.ctx, link->addr);
+	link->queued = 0;
+}
+
+void peers_send(struct peers *peers, struct str addr, uint64_t incarnation,
+		const struct msg *msg)
+{
+	struct link *link = link_get(peers, addr);
+
+	if (link->queued && link->to != incarnation)
+		link_encode(link);
+	link->to = incarnation;
+	if (link->queued == link->cap) {
+		link->cap = link->cap ? link->cap * 2 : 16;
+		link->queue =
+			xrealloc(link->queue, link->cap * sizeof(struct msg));
+	}
+	link->queue[link->queued++] = *msg;
+}
+
+void peers_flush(struct peers *peers)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, peers->links); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+
+		apr_hash_this(it, NULL, NULL, &value);
+
+		struct link *link = value;
+
+		link_encode(link);
+		if (link->fd < 0 || link->connecting || !link->out.len)
+			continue;
+		if (link->out.len > OUT_MAX)
+			link_close(link, true);
+		else
+			link_write(link);
+	}
+}
+
+static void inlet_close(struct inlet *inlet)
+{
+	if (inlet->prev)
+		inlet->prev->next = inlet->next;
+	else
+		inlet->peers->inlets = inlet->next;
+	if (inlet->next)
+		inlet->next->prev = inlet->prev;
+	loop_del(inlet->watch);
+	close(inlet->fd);
+	buf_free(&inlet->in);
+	free(inlet);
+}
+
+/* Return: false when the connection was closed. */
+static bool take_frames(struct inlet *inlet)
+{
+	struct peers *peers = inlet->peers;
+	size_t at = 0;
+
+	for (;;) {
+		struct str rest = {inlet->in.ptr + at, inlet->in.len - at};
+		struct frame frame = {0};
+		struct error err = {0};
+		int used = frame_decode(rest, &frame, &err);
+
+		if (used < 0) {
+			peers->handler.bad(peers->handler.ctx, &err);
+			inlet_close(inlet);
+			return false;
+		}
+		if (!used)
+			break;
+		/*
+		 * A frame for a process that is gone is not for its successor
+		 * on the same address, which would answer for work that it
+		 * knows nothing of.
+		 */
+		if (!frame.to_incarnation ||
+		    frame.to_incarnation == peers->incarnation)
+			peers->handler.frame(peers->handler.ctx, &frame);
+		frame_free(&frame);
+		at += (size_t)used;
+	}
+	if (at)
+		buf_drop(&inlet->in, at);
+	return true;
+}
+
+static void on_inlet(void *ctx, int events)
+{
+	struct inlet *inlet = ctx;
+
+	(void)events;
+	buf_reserve(&inlet->in, READ_SIZE);
+
+	ssize_t got =
+		recv(inlet->fd, inlet->in.ptr + inlet->in.len, READ_SIZE, 0);
+
+	if (got < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (got <= 0) {
+		inlet_close(inlet);
+		return;
+	}
+	inlet->in.len += (size_t)got;
+	take_frames(inlet);
+}
+
+static void on_accept(void *ctx, int events)
+{
+	struct peers *peers = ctx;
+	int fd = accept4(peers->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	(void)events;
+	if (fd < 0)
+		return;
+
+	struct inlet *inlet = xcalloc(1, sizeof(*inlet));
+
+	inlet->peers = peers;
+	inlet->fd = fd;
+	inlet->next = peers->inlets;
+	if (inlet->next)
+		inlet->next->prev = inlet;
+	peers->inlets = inlet;
+	inlet->watch = loop_add(peers->loop, fd, APR_POLLIN, on_inlet, inlet);
+}
+
+struct peers *peers_create(struct loop *loop, struct str addr,
+			   uint64_t incarnation, struct peer_handler handler,
+			   struct error *err)
+{
+	struct peers *peers = xcalloc(1, sizeof(*peers));
+	struct sockaddr_in sin;
+	int one = 1;
+
+	peers->fd = open_socket(addr, &sin);
+	setsockopt(peers->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (peers->fd < 0 ||
+	    bind(peers->fd, (struct sockaddr *)&sin, sizeof(sin)) ||
+	    listen(peers->fd, BACKLOG)) {
+		error_set(err, ERR_IO, "cannot listen on %.*s: %s",
+			  STR_ARG(addr), strerror(errno));
+		if (peers->fd >= 0)
+			close(peers->fd);
+		free(peers);
+		return NULL;
+	}
+	apr_pool_create(&peers->pool, NULL);
+	peers->loop = loop;
+	peers->addr = str_dup(peers->pool, addr);
+	peers->incarnation = incarnation;
+	peers->handler = handler;
+	peers->links = apr_hash_make(peers->pool);
+	peers->watch = loop_add(loop, peers->fd, APR_POLLIN, on_accept, peers);
+	return peers;
+}
+
+void peers_destroy(struct peers *peers)
+{
+	apr_hash_index_t *it;
+
+	while (peers->inlets)
+		inlet_close(peers->inlets);
+	for (it = apr_hash_first(NULL, peers->links); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+
+		apr_hash_this(it, NULL, NULL, &value);
+
+		struct link *link = value;
+
+		link_close(link, false);
+		buf_free(&link->out);
+		free(link->queue);
+		free(link);
+	}
+	loop_del(peers->watch);
+	close(peers->fd);
+	apr_pool_destroy(peers->pool);
+	free(peers);
+}
--- /dev/null
+++ b/serve.c
@@ -0,0 +1,485 @@
+#include "serve.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/random.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include "ask.h"
+#include "audit.h"
+#include "fetch.h"
+#include "http.h"
+#include "member.h"
+#include "node.h"
+#include "peer.h"
+#include "status.h"
+#include "target.h"
+#include "xmalloc.h"
+
+#define LOG_MODULE "serve"
+#include "log.h"
+
+/**
+ * DOC: shell of the reducer
+ *
+ * Turns what happens into events, and carries effects out. Effects of a round
+ * are collected and carried out at its end, so the messages of one round for
+ * one node share a frame. No decision is made here.
+ */
+
+enum {
+	GRACE_US = 2000000,
+	DOC_TIMEOUT_US = 2000000,
+	FLUSH_ROUNDS = 20,
+	FLUSH_US = 2000000,
+};
+
+struct server {
+	const struct config *config;
+	struct loop *loop;
+	apr_pool_t *pool;
+	struct node *node;
+	struct effects fx;
+	struct peers *peers;
+	struct fetcher *fetcher;
+	struct http_server *callers;
+	struct http_server *operators;
+	struct audit audit;
+	apr_hash_t *requests; /* id -> struct http_request */
+	struct watch *signals;
+	int signal_fd;
+	size_t platform[DOC_KINDS];
+	bool stopping;
+};
+
+static void feed(struct server *s, struct event event)
+{
+	event.now = loop_now();
+	node_reduce(s->node, &event, &s->fx);
+}
+
+/* Targets. */
+
+/** struct call - what a reply needs to find its way back */
+struct call {
+	struct server *server;
+	enum fetch_kind kind;
+};
+
+static void on_fetched(void *ctx, uint64_t id, const struct fetch_reply *reply)
+{
+	struct call *call = ctx;
+	struct fetched got = {.result = reply->result,
+			      .status = reply->status,
+			      .resent = reply->resent,
+			      .load = -1};
+	struct buf rows = {0};
+
+	if (reply->result == FETCH_OK)
+		target_reply(reply->body, reply->status, &got, &rows);
+	if (call->kind != FETCH_CANCEL)
+		feed(call->server, (struct event){.type = EV_FETCHED,
+						  .id = id,
+						  .fetched = &got});
+	buf_free(&rows);
+	free(call);
+}
+
+static void do_fetch(struct server *s, const struct effect *fx)
+{
+	struct call *call = xmalloc(sizeof(*call));
+	struct buf url = {0};
+	struct fetch_request request = {
+		.remaining_us = fx->wait_us,
+		.timeout_us = fx->wait_us + GRACE_US,
+		.once = fx->fetch == FETCH_ENTRY,
+		.done = on_fetched,
+		.ctx = call,
+		.id = fx->id,
+	};
+
+	*call = (struct call){s, fx->fetch};
+	target_url(fx, &url);
+	request.url = buf_str(&url);
+	if (fx->fetch == FETCH_ENTRY)
+		request.post = fx->body;
+	if (fx->fetch == FETCH_HEALTH)
+		request.timeout_us = fx->wait_us;
+	fetch_start(s->fetcher, &request);
+	buf_free(&url);
+}
+
+/* Platform. */
+
+static void on_doc(void *ctx, uint64_t id, const struct fetch_reply *reply)
+{
+	struct server *s = ctx;
+	struct event event = {.type = EV_DOC_FAILED, .doc = (enum doc_kind)id};
+
+	if (reply->result == FETCH_OK && reply->status == 200) {
+		event.type = EV_DOC;
+		event.body = reply->body;
+	} else if (reply->result == FETCH_OK && reply->status == 304) {
+		event.type = EV_DOC_SAME;
+	} else {
+		s->platform[id]++;
+	}
+	feed(s, event);
+}
+
+static void do_read(struct server *s, const struct effect *fx)
+{
+	const struct config *config = s->config;
+	struct str addr =
+		config->platforms[s->platform[fx->doc] % config->nplatforms];
+	struct buf url = {0};
+
+	buf_printf(&url, "http://%.*s/%s?after=%llu&hash=%llx&wait_ms=%lld",
+		   STR_ARG(addr), doc_name(fx->doc),
+		   (unsigned long long)fx->version,
+		   (unsigned long long)fx->hash, (long long)fx->wait_us / 1000);
+
+	struct fetch_request request = {
+		.url = buf_str(&url),
+		.remaining_us = -1,
+		.timeout_us = fx->wait_us + DOC_TIMEOUT_US,
+		.done = on_doc,
+		.ctx = s,
+		.id = fx->doc,
+	};
+
+	fetch_start(s->fetcher, &request);
+	buf_free(&url);
+}
+
+/* Effects. */
+
+static void do_answer(struct server *s, const struct effect *fx)
+{
+	uint64_t id = fx->id;
+	struct http_request *req = apr_hash_get(s->requests, &id, sizeof(id));
+
+	if (!req)
+		return;
+	apr_hash_set(s->requests, &req->id, sizeof(req->id), NULL);
+	http_reply(req, fx->status, fx->body);
+}
+
+static void do_effect(struct server *s, const struct effect *fx)
+{
+	switch (fx->type) {
+	case FX_SEND:
+		peers_send(s->peers, fx->addr, fx->incarnation, &fx->msg);
+		break;
+	case FX_FETCH:
+		do_fetch(s, fx);
+		break;
+	case FX_READ_DOC:
+		do_read(s, fx);
+		break;
+	case FX_ANSWER:
+		do_answer(s, fx);
+		break;
+	case FX_AUDIT:
+		audit_add(&s->audit, fx->body);
+		break;
+	case FX_STOP:
+		s->stopping = true;
+		loop_stop(s->loop);
+		break;
+	}
+}
+
+static void carry_out(void *ctx)
+{
+	struct server *s = ctx;
+	size_t done = 0;
+
+	if (loop_now() >= node_wake_at(s->node))
+		feed(s, (struct event){.type = EV_TICK});
+	while (done < s->fx.count) {
+		while (done < s->fx.count) {
+			struct effect fx = s->fx.list[done++];
+
+			do_effect(s, &fx);
+		}
+		/* May add events of lost connections, and so effects. */
+		peers_flush(s->peers);
+	}
+	effects_clear(&s->fx);
+}
+
+static int64_t wait_us(void *ctx)
+{
+	struct server *s = ctx;
+	int64_t left = node_wake_at(s->node) - loop_now();
+
+	return left > 0 ? left : 0;
+}
+
+/* Nodes. */
+
+static void on_frame(void *ctx, const struct frame *frame)
+{
+	struct server *s = ctx;
+
+	for (size_t i = 0; i < frame->count; i++)
+		feed(s, (struct event){.type = EV_MSG,
+				       .from = frame->from,
+				       .incarnation = frame->from_incarnation,
+				       .msg = &frame->msgs[i]});
+}
+
+static void on_lost(void *ctx, struct str addr)
+{
+	feed(ctx, (struct event){.type = EV_PEER_LOST, .from = addr});
+}
+
+static void on_bad(void *ctx, const struct error *err)
+{
+	struct server *s = ctx;
+
+	s->node->counters[CNT_BAD_FRAMES]++;
+	LOG_WARN("%s; closed the connection", err->text);
+}
+
+/* Callers. */
+
+static void reply_error(struct http_request *req, int code, const char *text)
+{
+	struct buf out = {0};
+
+	error_json(&out, code, text, 0);
+	http_reply(req, error_info(code)->status, buf_str(&out));
+	buf_free(&out);
+}
+
+static void reply_health(struct server *s, struct http_request *req)
+{
+	bool live =
+		member_state(s->node) == VM_LIVE && !member_isolated(s->node);
+
+	http_reply(req, live ? 200 : 503,
+		   live ? STR("{\"state\":\"live\"}")
+			: STR("{\"state\":\"not ready\"}"));
+}
+
+/** struct route - a path of the callers' interface */
+struct route {
+	const char *path;
+	enum event_type type;
+};
+
+static const struct route routes[] = {
+	{"/v1/questions", EV_ASK},
+	{"/v1/tickets", EV_TICKET},
+	{"/v1/entries", EV_ENTRY},
+	{"/v1/lookups", EV_LOOKUP},
+};
+
+static void on_caller(void *ctx, struct http_request *req)
+{
+	struct server *s = ctx;
+
+	if (str_eq(req->path, STR("/health"))) {
+		reply_health(s, req);
+		return;
+	}
+	for (size_t i = 0; i < sizeof(routes) / sizeof(*routes); i++) {
+		if (!str_eq(req->path, str_of(routes[i].path)))
+			continue;
+		if (!str_eq(req->method, STR("POST"))) {
+			reply_error(req, ERR_BAD_REQUEST, "use POST");
+			return;
+		}
+		apr_hash_set(s->requests, &req->id, sizeof(req->id), req);
+		feed(s, (struct event){.type = routes[i].type,
+				       .id = req->id,
+				       .body = req->body});
+		return;
+	}
+	reply_error(req, ERR_NOT_FOUND, "no such path");
+}
+
+static void on_caller_gone(void *ctx, struct http_request *req)
+{
+	struct server *s = ctx;
+
+	if (!apr_hash_get(s->requests, &req->id, sizeof(req->id)))
+		return;
+	apr_hash_set(s->requests, &req->id, sizeof(req->id), NULL);
+	feed(s, (struct event){.type = EV_CALLER_GONE, .id = req->id});
+}
+
+/* Operators. */
+
+static void begin_stop(struct server *s)
+{
+	http_closing(s->callers, true);
+	feed(s, (struct event){.type = EV_LEAVE});
+}
+
+static void on_operator(void *ctx, struct http_request *req)
+{
+	struct server *s = ctx;
+	struct buf out = {0};
+
+	if (str_eq(req->path, STR("/status"))) {
+		status_json(s->node, &out);
+	} else if (str_eq(req->path, STR("/audit"))) {
+		audit_json(&s->audit, &out);
+	} else if (str_eq(req->path, STR("/counters"))) {
+		counters_all_json(s->node, &out);
+	} else if (str_eq(req->path, STR("/drain")) &&
+		   str_eq(req->method, STR("POST"))) {
+		begin_stop(s);
+		buf_str_add(&out, STR("{\"state\":\"leaving\"}"));
+	} else {
+		reply_error(req, ERR_NOT_FOUND,
+			    "GET /status, /audit, /counters or POST /drain");
+		return;
+	}
+	http_reply(req, 200, buf_str(&out));
+	buf_free(&out);
+}
+
+static void on_signal(void *ctx, int events)
+{
+	struct server *s = ctx;
+	struct signalfd_siginfo info;
+
+	(void)events;
+	if (read(s->signal_fd, &info, sizeof(info)) != sizeof(info))
+		return;
+	/* A second signal changes nothing: the stop goes on as planned. */
+	LOG_INFO("signal %u: planned stop", info.ssi_signo);
+	begin_stop(s);
+}
+
+static void watch_signals(struct server *s)
+{
+	sigset_t set;
+
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	s->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	s->signals = loop_add(s->loop, s->signal_fd, APR_POLLIN, on_signal, s);
+}
+
+/* Life. */
+
+static uint64_t random_u64(void)
+{
+	uint64_t value = 0;
+
+	if (getrandom(&value, sizeof(value), 0) != sizeof(value)) {
+		LOG_ERR("getrandom: %s", strerror(errno));
+		abort();
+	}
+	return value;
+}
+
+static int listen_all(struct server *s, uint64_t incarnation, struct error *err)
+{
+	const struct config *config = s->config;
+
+	s->peers = peers_create(
+		s->loop, config->peer, incarnation,
+		(struct peer_handler){on_frame, on_lost, on_bad, s}, err);
+	if (!s->peers)
+		return err->code;
+	s->callers = http_listen(
+		s->loop, config->callers, ASK_BODY_MAX,
+		(struct http_handler){on_caller, on_caller_gone, s}, err);
+	if (!s->callers)
+		return err->code;
+	s->operators =
+		http_listen(s->loop, config->operators, ASK_BODY_MAX,
+			    (struct http_handler){on_operator, NULL, s}, err);
+	return s->operators ? 0 : err->code;
+}
+
+static void start_node(struct server *s, uint64_t incarnation)
+{
+	const struct config *config = s->config;
+	struct node_options opt = {
+		.addr = config->peer,
+		.domain = config->domain,
+		.incarnation = incarnation,
+		.seed = random_u64(),
+		.peers = config->peers,
+		.npeers = config->npeers,
+		.max_open = config->max_open,
+		.drain_us = config->drain_us,
+	};
+
+	s->node = node_create(&opt, loop_now(), &s->fx);
+	loop_hook(s->loop, (struct loop_hook){carry_out, wait_us, s});
+}
+
+/* Answers that are given may still be on their way to the sockets. */
+static void flush_answers(struct server *s)
+{
+	int64_t until = loop_now() + FLUSH_US;
+
+	http_quiesce(s->callers);
+	for (int i = 0; i < FLUSH_ROUNDS; i++)
+		loop_step(s->loop);
+	while (http_open(s->callers) && loop_now() < until)
+		loop_step(s->loop);
+}
+
+static void destroy(struct server *s)
+{
+	if (s->operators)
+		http_destroy(s->operators);
+	if (s->callers)
+		http_destroy(s->callers);
+	if (s->peers)
+		peers_destroy(s->peers);
+	if (s->fetcher)
+		fetcher_destroy(s->fetcher);
+	if (s->node)
+		node_destroy(s->node);
+	if (s->signals) {
+		loop_del(s->signals);
+		close(s->signal_fd);
+	}
+	loop_destroy(s->loop);
+	effects_free(&s->fx);
+	audit_free(&s->audit);
+	apr_pool_destroy(s->pool);
+}
+
+int serve(const struct config *config)
+{
+	struct server s = {.config = config};
+	uint64_t incarnation = random_u64() | 1;
+	struct error err = {0};
+	int code;
+
+	apr_pool_create(&s.pool, NULL);
+	effects_init(&s.fx, s.pool);
+	s.requests = apr_hash_make(s.pool);
+	s.loop = loop_create(s.pool);
+	s.fetcher = fetcher_create(s.loop, DOC_MAX + ASK_BODY_MAX);
+	code = listen_all(&s, incarnation, &err);
+	if (!code) {
+		watch_signals(&s);
+		start_node(&s, incarnation);
+		LOG_INFO("serving callers on %.*s", STR_ARG(config->callers));
+		loop_run(s.loop);
+		flush_answers(&s);
+		LOG_INFO("stopped");
+	} else {
+		LOG_ERR("%s; %s", err.text, error_info(code)->remedy);
+	}
+	destroy(&s);
+	return code ? 1 : 0;
+}
--- /dev/null
+++ b/status.c
@@ -0,0 +1,81 @@
+#include "status.h"
+
+#include "front.h"
+#include "gate.h"
+#include "member.h"
+#include "once.h"
+#include "quota.h"
+
+static const char *const states[] = {"starting", "live", "leaving"};
+
+static void vm_json(const struct node *node, const struct vm *vm,
+		    struct buf *out)
+{
+	int64_t heard = -1;
+
+	if (vm->heard_at != INT64_MIN)
+		heard = (node->now - vm->heard_at) / 1000;
+	if (vm == node->member->vms[0])
+		heard = 0;
+	buf_str_add(out, STR("{\"vm\":"));
+	buf_json_add(out, vm->addr);
+	buf_str_add(out, STR(",\"domain\":"));
+	buf_json_add(out, vm->domain);
+	buf_printf(out, ",\"state\":\"%s\",\"usable\":%s,\"listed\":%s",
+		   states[vm->state],
+		   member_usable(node, vm) ? "true" : "false",
+		   vm->listed ? "true" : "false");
+	buf_printf(out, ",\"incarnation\":\"%llx\",\"heard_ms\":%lld}",
+		   (unsigned long long)vm->incarnation, (long long)heard);
+}
+
+static void docs_json(const struct node *node, struct buf *out)
+{
+	const struct lists *lists = node->lists;
+	const struct fleet *fleet = node->fleet;
+
+	buf_printf(out, ",\"lists\":{\"version\":%llu,\"hash\":\"%llx\"}",
+		   lists ? (unsigned long long)lists->version : 0,
+		   lists ? (unsigned long long)lists->hash : 0);
+	buf_printf(out, ",\"fleet\":{\"version\":%llu,\"hash\":\"%llx\"}",
+		   fleet ? (unsigned long long)fleet->version : 0,
+		   fleet ? (unsigned long long)fleet->hash : 0);
+}
+
+void status_json(const struct node *node, struct buf *out)
+{
+	buf_str_add(out, STR("{\"node\":"));
+	buf_json_add(out, node->opt.addr);
+	buf_str_add(out, STR(",\"domain\":"));
+	buf_json_add(out, node->opt.domain);
+	buf_printf(out, ",\"incarnation\":\"%llx\",\"state\":\"%s\"",
+		   (unsigned long long)node->opt.incarnation,
+		   states[member_state(node)]);
+	buf_printf(out, ",\"view_confirmed\":%s,\"isolated\":%s",
+		   member_view_ok(node) ? "true" : "false",
+		   member_isolated(node) ? "true" : "false");
+	docs_json(node, out);
+	buf_printf(out, ",\"questions_open\":%zu,\"questions_limit\":%.0f",
+		   front_open(node), node->front->limit);
+	buf_printf(out, ",\"jobs_open\":%zu,\"entries_open\":%zu,\"vms\":[",
+		   gate_open(node), once_open(node));
+	for (size_t i = 0; i < node->member->count; i++) {
+		if (i)
+			buf_add(out, ",", 1);
+		vm_json(node, node->member->vms[i], out);
+	}
+	buf_str_add(out, STR("],\"targets\":"));
+	gate_json(node, out);
+	buf_add(out, "}", 1);
+}
+
+void counters_all_json(const struct node *node, struct buf *out)
+{
+	buf_str_add(out, STR("{\"counters\":"));
+	counters_json(node->counters, out);
+	buf_str_add(out, STR(",\"targets\":"));
+	gate_json(node, out);
+	buf_str_add(out, STR(",\"customers\":"));
+	quota_json(node, out);
+	buf_add(out, "}", 1);
+}
--- /dev/null
+++ b/status.h
@@ -0,0 +1,8 @@
+#pragma once
+
+#include "node.h"
+
+/** status_json() - append one JSON object: node, documents, VMs, targets. */
+void status_json(const struct node *node, struct buf *out);
+/** counters_all_json() - append counters, targets and customers. */
+void counters_all_json(const struct node *node, struct buf *out);
--- /dev/null
+++ b/str.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <apr_pools.h>
+
+/**
+ * struct str - length-counted string, not owned and not terminated
+ * @ptr: first byte, may be NULL when @len is 0
+ * @len: bytes
+ */
+struct str {
+	const char *ptr;
+	size_t len;
+};
+
+#define STR(lit) ((struct str){(lit), sizeof(lit) - 1})
+/** Arguments for a "%.*s" conversion. */
+#define STR_ARG(s) (int)(s).len, (s).ptr ? (s).ptr : ""
+
+/**
+ * struct buf - growing byte buffer on the heap
+ * @ptr: bytes; owned, freed by buf_free()
+ * @len: bytes in use
+ * @cap: bytes allocated
+ */
+struct buf {
+	char *ptr;
+	size_t len;
+	size_t cap;
+};
+
+static inline struct str str_of(const char *cstr)
+{
+	return (struct str){cstr, cstr ? strlen(cstr) : 0};
+}
+
+static inline bool str_eq(struct str a, struct str b)
+{
+	return a.len == b.len && (!a.len || !memcmp(a.ptr, b.ptr, a.len));
+}
+
+static inline struct str buf_str(const struct buf *buf)
+{
+	return (struct str){buf->ptr, buf->len};
+}
+
+/** str_hash() - 64 bit xxHash of the bytes; never 0, which means "none". */
+uint64_t str_hash(struct str s);
+
+/** str_dup() - copy into @pool, with a terminating NUL for C interfaces. */
+struct str str_dup(apr_pool_t *pool, struct str s);
+
+void buf_reserve(struct buf *buf, size_t more);
+void buf_add(struct buf *buf, const void *data, size_t len);
+void buf_str_add(struct buf *buf, struct str s);
+void buf_printf(struct buf *buf, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+/** buf_json_add() - append @s as a quoted JSON string. */
+void buf_json_add(struct buf *buf, struct str s);
+/** buf_drop() - remove @len bytes from the front. */
+void buf_drop(struct buf *buf, size_t len);
+void buf_free(struct buf *buf);
--- /dev/null
+++ b/xmalloc.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <stddef.h>
+
+/**
+ * DOC: allocation that cannot fail
+ *
+ * A node that runs out of memory cannot keep a promise by going on with half
+ * of its state. These wrappers print a message and abort, so no caller needs
+ * an error path. The supervisor of the VM starts a new incarnation.
+ */
+
+void *xmalloc(size_t size);
+void *xcalloc(size_t count, size_t size);
+void *xrealloc(void *ptr, size_t size);
