--- a/ask.c
+++ b/ask.c
@@ -31,7 +31,7 @@
 			       size_t max, apr_pool_t *pool)
 {
 	if (!json_object_get(doc, key))
-		return (struct str){0};
+		return (struct str){ 0 };
 	return text(in, doc, key, max, pool);
 }
 
@@ -79,13 +79,14 @@
 int ask_parse(struct str body, apr_pool_t *pool, struct ask *ask,
 	      struct error *err)
 {
-	static const char *const keys[] = {
-		"customer", "request_id",  "terms", "indexes",
-		"shards",   "deadline_ms", NULL};
-	struct json_in in = {.file = "question", .code = ERR_BAD_REQUEST};
+	static const char *const keys[] = { "customer", "request_id",
+					    "terms",	"indexes",
+					    "shards",	"deadline_ms",
+					    NULL };
+	struct json_in in = { .file = "question", .code = ERR_BAD_REQUEST };
 	json_t *doc = parse(&in, body);
 
-	*ask = (struct ask){0};
+	*ask = (struct ask){ 0 };
 	if (doc) {
 		json_keys(&in, "top", doc, keys);
 		ask->customer = text(&in, doc, "customer", ASK_ID_MAX, pool);
@@ -128,13 +129,14 @@
 int entry_parse(struct str body, bool lookup, apr_pool_t *pool,
 		struct entry *entry, struct error *err)
 {
-	static const char *const keys[] = {
-		"customer", "request_id", "ticket",	 "index",
-		"key",	    "entry",	  "deadline_ms", NULL};
-	struct json_in in = {.file = "entry", .code = ERR_BAD_REQUEST};
+	static const char *const keys[] = { "customer",	   "request_id",
+					    "ticket",	   "index",
+					    "key",	   "entry",
+					    "deadline_ms", NULL };
+	struct json_in in = { .file = "entry", .code = ERR_BAD_REQUEST };
 	json_t *doc = parse(&in, body);
 
-	*entry = (struct entry){0};
+	*entry = (struct entry){ 0 };
 	if (doc) {
 		json_keys(&in, "top", doc, keys);
 		entry->customer = text(&in, doc, "customer", ASK_ID_MAX, pool);
--- a/bench/load.c
+++ b/bench/load.c
@@ -157,8 +157,8 @@
 static void ask(struct load *load)
 {
 	uint64_t id = load->sent++;
-	struct buf body = {0};
-	struct buf url = {0};
+	struct buf body = { 0 };
+	struct buf url = { 0 };
 
 	load->due[id] = (int64_t)load->next_due;
 	buf_printf(&body,
@@ -283,7 +283,7 @@
 
 int main(int argc, char **argv)
 {
-	struct load load = {0};
+	struct load load = { 0 };
 
 	if (argc < 6) {
 		fprintf(stderr, "usage: load ADDRS RATE SECONDS CUSTOMER "
@@ -306,7 +306,7 @@
 	load.due = xcalloc(load.cap, sizeof(*load.due));
 	load.latency = xcalloc(load.cap, sizeof(*load.latency));
 	load.coverage = xcalloc(load.cap, sizeof(*load.coverage));
-	loop_hook(load.loop, (struct loop_hook){run, wait_us, &load});
+	loop_hook(load.loop, (struct loop_hook){ run, wait_us, &load });
 	loop_run(load.loop);
 	print(&load);
 	return 0;
--- a/client.c
+++ b/client.c
@@ -12,7 +12,7 @@
 		int64_t timeout_ms, struct buf *out, struct error *err)
 {
 	CURL *easy = curl_easy_init();
-	struct buf url = {0};
+	struct buf url = { 0 };
 	long status = 0;
 
 	buf_printf(&url, "http://%.*s%s", STR_ARG(addr), path);
--- a/command.c
+++ b/command.c
@@ -81,8 +81,8 @@
 {
 	struct arg_file *settings =
 		arg_file1("s", "settings", "FILE", "settings of this VM, JSON");
-	void *table[] = {help_arg(), settings, arg_end(MAX_ERRORS)};
-	struct error err = {0};
+	void *table[] = { help_arg(), settings, arg_end(MAX_ERRORS) };
+	struct error err = { 0 };
 	int code = parse_args(argc, argv, table, "Run a node.");
 
 	if (code < 0) {
@@ -107,7 +107,7 @@
 
 static int check_settings(const char *file)
 {
-	struct error err = {0};
+	struct error err = { 0 };
 	struct config *config = config_load(file, &err);
 
 	if (!config) {
@@ -122,7 +122,7 @@
 
 static int check_lists(const char *file, struct str body)
 {
-	struct error err = {0};
+	struct error err = { 0 };
 	struct lists *lists = lists_parse(body, &err);
 
 	if (!lists) {
@@ -137,7 +137,7 @@
 
 static int check_fleet(const char *file, struct str body)
 {
-	struct error err = {0};
+	struct error err = { 0 };
 	struct fleet *fleet = fleet_parse(body, &err);
 
 	if (!fleet) {
@@ -154,8 +154,8 @@
 static int check_doc(const char *file,
 		     int (*check)(const char *file, struct str body))
 {
-	struct buf body = {0};
-	struct error err = {0};
+	struct buf body = { 0 };
+	struct error err = { 0 };
 	int code = EXIT_FAILED;
 
 	if (file_read(file, DOC_MAX, &body, &err))
@@ -174,8 +174,8 @@
 		arg_file0("l", "lists", "FILE", "plans and allowances");
 	struct arg_file *fleet = arg_file0("f", "fleet", "FILE",
 					   "domains, VMs, targets, snapshots");
-	void *table[] = {help_arg(), settings, lists, fleet,
-			 arg_end(MAX_ERRORS)};
+	void *table[] = { help_arg(), settings, lists, fleet,
+			  arg_end(MAX_ERRORS) };
 	int code = parse_args(argc, argv, table,
 			      "Judge files with the code that a node uses.");
 
@@ -277,14 +277,14 @@
 	struct arg_str *addr = arg_str1("a", "address", "IP:PORT",
 					"operators' address of the node");
 	struct arg_lit *json = arg_lit0("j", "json", "print JSON");
-	void *table[] = {help_arg(), addr, json, arg_end(MAX_ERRORS)};
-	struct error err = {0};
-	struct buf body = {0};
+	void *table[] = { help_arg(), addr, json, arg_end(MAX_ERRORS) };
+	struct error err = { 0 };
+	struct buf body = { 0 };
 	int code = parse_args(argc, argv, table, summary);
 
 	if (code < 0) {
 		int status = client_call(str_of(addr->sval[0]), path,
-					 post ? STR("") : (struct str){0},
+					 post ? STR("") : (struct str){ 0 },
 					 OPERATOR_MS, &body, &err);
 
 		if (status < 0)
@@ -338,7 +338,7 @@
 {
 	json_t *doc = json_object();
 	json_t *indexes = json_array();
-	struct buf body = {0};
+	struct buf body = { 0 };
 
 	add_field(doc, "customer", customer);
 	add_field(doc, "terms", terms);
@@ -383,13 +383,14 @@
 	struct arg_int *deadline =
 		arg_int0("d", "deadline-ms", "MS", "answer by then");
 	struct arg_lit *json = arg_lit0("j", "json", "print JSON");
-	void *table[] = {help_arg(), addr, customer,	       index, terms, id,
-			 deadline,   json, arg_end(MAX_ERRORS)};
+	void *table[] = { help_arg(), addr,  customer,
+			  index,      terms, id,
+			  deadline,   json,  arg_end(MAX_ERRORS) };
 	int code = parse_args(argc, argv, table, "Ask a question.");
 
 	if (code < 0) {
-		struct error err = {0};
-		struct buf answer = {0};
+		struct error err = { 0 };
+		struct buf answer = { 0 };
 		struct buf body =
 			question_body(customer, id, terms, index, deadline);
 		int status = client_call(str_of(addr->sval[0]), "/v1/questions",
@@ -418,14 +419,14 @@
 }
 
 static const struct command commands[] = {
-	{"serve", "run a node", run_serve},
-	{"check", "judge settings, lists and fleet files", run_check},
-	{"ask", "ask a question", run_ask},
-	{"status", "show a node's state", run_status},
-	{"audit", "show a node's audit trail", run_audit},
-	{"counters", "show a node's counters", run_counters},
-	{"drain", "begin the planned stop of a node", run_drain},
-	{"version", "show the version", run_version},
+	{ "serve", "run a node", run_serve },
+	{ "check", "judge settings, lists and fleet files", run_check },
+	{ "ask", "ask a question", run_ask },
+	{ "status", "show a node's state", run_status },
+	{ "audit", "show a node's audit trail", run_audit },
+	{ "counters", "show a node's counters", run_counters },
+	{ "drain", "begin the planned stop of a node", run_drain },
+	{ "version", "show the version", run_version },
 };
 
 static void print_usage(FILE *out)
--- a/conf.c
+++ b/conf.c
@@ -180,7 +180,7 @@
 
 static bool take_lists(struct node *node, struct str body, const char *why)
 {
-	struct error err = {0};
+	struct error err = { 0 };
 	struct lists *lists = lists_parse(body, &err);
 
 	if (!lists) {
@@ -199,7 +199,7 @@
 
 static bool take_fleet(struct node *node, struct str body, const char *why)
 {
-	struct error err = {0};
+	struct error err = { 0 };
 	struct fleet *fleet = fleet_parse(body, &err);
 
 	if (!fleet) {
@@ -232,7 +232,7 @@
 /* The VMs named in a fleet that is not in force yet are asked for newer. */
 static void probe_candidate(struct node *node, struct str body)
 {
-	struct error err = {0};
+	struct error err = { 0 };
 	struct fleet *fleet = fleet_parse(body, &err);
 
 	if (!fleet)
@@ -272,7 +272,7 @@
 		return;
 	doc->asked_until = node->now + ASK_PEER_US;
 
-	struct msg msg = {.kind = MSG_DOC_GET, .doc = kind};
+	struct msg msg = { .kind = MSG_DOC_GET, .doc = kind };
 
 	node_send(node, vm->addr, vm->incarnation, &msg);
 }
--- a/config.c
+++ b/config.c
@@ -88,7 +88,8 @@
 
 static void parse_level(struct json_in *in, json_t *doc, struct config *config)
 {
-	static const char *const levels[] = {"error", "warn", "info", "debug"};
+	static const char *const levels[] = { "error", "warn", "info",
+					      "debug" };
 
 	config->log_level = STR("info");
 	if (!json_object_get(doc, "log_level"))
@@ -105,7 +106,8 @@
 {
 	static const char *const keys[] = {
 		"peer",	 "callers",  "operators", "domain",    "platforms",
-		"peers", "max_open", "drain_ms",  "log_level", NULL};
+		"peers", "max_open", "drain_ms",  "log_level", NULL
+	};
 
 	json_keys(in, "top", doc, keys);
 	config->peer = parse_addr(in, doc, "peer", config->pool);
@@ -133,7 +135,7 @@
 struct config *config_parse(const char *file, struct str text,
 			    struct error *err)
 {
-	struct json_in in = {.file = file, .code = ERR_SETTINGS};
+	struct json_in in = { .file = file, .code = ERR_SETTINGS };
 	json_t *doc = json_parse(&in, text);
 	struct config *config = NULL;
 	apr_pool_t *pool;
@@ -173,7 +175,7 @@
 
 struct config *config_load(const char *file, struct error *err)
 {
-	struct buf text = {0};
+	struct buf text = { 0 };
 	struct config *config = NULL;
 
 	if (!file_read(file, SETTINGS_MAX, &text, err))
--- a/doc.c
+++ b/doc.c
@@ -39,7 +39,8 @@
 
 static const char *const allowance_keys[] = {
 	"plan",	   "indexes",	  "entries",	    "rate",	  "burst",
-	"soft_ms", "deadline_ms", "coverage_floor", "extra_load", NULL};
+	"soft_ms", "deadline_ms", "coverage_floor", "extra_load", NULL
+};
 
 static void parse_allowance(struct json_in *in, const char *place,
 			    struct lists *lists, json_t *obj, struct plan *plan)
@@ -99,7 +100,7 @@
 static void parse_customer(struct json_in *in, const char *place,
 			   struct lists *lists, json_t *obj)
 {
-	static const char *const keys[] = {"customer", "plan", NULL};
+	static const char *const keys[] = { "customer", "plan", NULL };
 
 	json_keys(in, place, obj, keys);
 
@@ -142,9 +143,9 @@
 
 struct lists *lists_parse(struct str body, struct error *err)
 {
-	static const char *const keys[] = {"version", "plans", "allowances",
-					   NULL};
-	struct json_in in = {.file = "lists", .code = ERR_LIST};
+	static const char *const keys[] = { "version", "plans", "allowances",
+					    NULL };
+	struct json_in in = { .file = "lists", .code = ERR_LIST };
 	json_t *doc = body.len > DOC_MAX ? NULL : json_parse(&in, body);
 	struct lists *lists = NULL;
 	apr_pool_t *pool;
@@ -209,7 +210,7 @@
 
 static void parse_domains(struct json_in *in, struct fleet *fleet, json_t *doc)
 {
-	static const char *const keys[] = {"name", "state", NULL};
+	static const char *const keys[] = { "name", "state", NULL };
 	json_t *list = json_list(in, "domains", doc, "domains", MAX_DOMAINS);
 	size_t count = list ? json_array_size(list) : 0;
 
@@ -271,7 +272,8 @@
 
 static void parse_vms(struct json_in *in, struct fleet *fleet, json_t *doc)
 {
-	static const char *const keys[] = {"address", "domain", "state", NULL};
+	static const char *const keys[] = { "address", "domain", "state",
+					    NULL };
 	json_t *list = json_list(in, "vms", doc, "vms", MAX_VMS);
 	size_t count = list ? json_array_size(list) : 0;
 	apr_hash_t *seen = apr_hash_make(fleet->pool);
@@ -297,9 +299,9 @@
 static void parse_targets(struct json_in *in, struct fleet *fleet, json_t *doc,
 			  apr_hash_t *names)
 {
-	static const char *const keys[] = {"name",  "address", "domain",
-					   "state", "slots",   "connections",
-					   NULL};
+	static const char *const keys[] = { "name",  "address", "domain",
+					    "state", "slots",	"connections",
+					    NULL };
 	json_t *list = json_list(in, "targets", doc, "targets", MAX_TARGETS);
 	size_t count = list ? json_array_size(list) : 0;
 	apr_hash_t *addrs = apr_hash_make(fleet->pool);
@@ -399,8 +401,8 @@
 			struct fleet *fleet, json_t *obj, apr_hash_t *names,
 			struct shard *shard)
 {
-	static const char *const keys[] = {"id",     "index",	 "from", "to",
-					   "weight", "replicas", NULL};
+	static const char *const keys[] = { "id",     "index",	  "from", "to",
+					    "weight", "replicas", NULL };
 
 	json_keys(in, place, obj, keys);
 	shard->id = (uint32_t)json_int(in, place, obj, "id", 1, UINT32_MAX);
@@ -418,7 +420,7 @@
 			   struct fleet *fleet, json_t *obj, apr_hash_t *names,
 			   struct snapshot *snap)
 {
-	static const char *const keys[] = {"version", "shards", NULL};
+	static const char *const keys[] = { "version", "shards", NULL };
 
 	json_keys(in, place, obj, keys);
 	snap->version =
@@ -464,9 +466,9 @@
 
 struct fleet *fleet_parse(struct str body, struct error *err)
 {
-	static const char *const keys[] = {"version", "domains",   "vms",
-					   "targets", "snapshots", NULL};
-	struct json_in in = {.file = "fleet", .code = ERR_LIST};
+	static const char *const keys[] = { "version", "domains",   "vms",
+					    "targets", "snapshots", NULL };
+	struct json_in in = { .file = "fleet", .code = ERR_LIST };
 	json_t *doc = body.len > DOC_MAX ? NULL : json_parse(&in, body);
 	struct fleet *fleet = NULL;
 	apr_pool_t *pool;
@@ -514,7 +516,7 @@
 const struct shard *snapshot_range(const struct snapshot *snap,
 				   struct str index, size_t *count)
 {
-	struct shard wanted = {.index = index, .from = INT64_MIN};
+	struct shard wanted = { .index = index, .from = INT64_MIN };
 	size_t low = 0;
 	size_t high = snap->nshards;
 
--- a/event.c
+++ b/event.c
@@ -6,7 +6,7 @@
 
 void effects_init(struct effects *fx, apr_pool_t *parent)
 {
-	*fx = (struct effects){0};
+	*fx = (struct effects){ 0 };
 	apr_pool_create(&fx->pool, parent);
 }
 
@@ -19,7 +19,7 @@
 
 	struct effect *effect = &fx->list[fx->count++];
 
-	*effect = (struct effect){.type = type};
+	*effect = (struct effect){ .type = type };
 	return effect;
 }
 
@@ -33,7 +33,7 @@
 {
 	apr_pool_destroy(fx->pool);
 	free(fx->list);
-	*fx = (struct effects){0};
+	*fx = (struct effects){ 0 };
 }
 
 static void msg_dump(const struct msg *msg, struct buf *out)
--- a/fetch.c
+++ b/fetch.c
@@ -153,7 +153,7 @@
 			  (long)HOST_CONNECTIONS);
 	curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS,
 			  (long)CACHED_CONNECTIONS);
-	loop_hook(loop, (struct loop_hook){run, wait_us, fetcher});
+	loop_hook(loop, (struct loop_hook){ run, wait_us, fetcher });
 	return fetcher;
 }
 
--- a/front.c
+++ b/front.c
@@ -682,7 +682,7 @@
 
 void front_ask(struct node *node, uint64_t caller, struct str body)
 {
-	struct error err = {0};
+	struct error err = { 0 };
 	const struct plan *plan = NULL;
 	apr_pool_t *pool;
 	struct ask ask;
@@ -788,7 +788,7 @@
 
 static void answer(struct node *node, struct question *q)
 {
-	struct buf out = {0};
+	struct buf out = { 0 };
 	bool complete = is_complete(q);
 	/* Rounded down: a partial answer never reads as a complete one. */
 	double covered =
@@ -1031,13 +1031,16 @@
 		finish(node, q, 0);
 }
 
+/* Return: false when the budget is spent. */
 static bool hedge_leaf(struct node *node, struct question *q, struct leaf *leaf,
 		       int64_t delay)
 {
+	if (leaf->state != LEAF_OPEN || !leaf->nattempts)
+		return true;
+
 	const struct attempt *last = &leaf->attempts[leaf->nattempts - 1];
 
-	if (leaf->state != LEAF_OPEN || !leaf->nattempts || !last->open ||
-	    last->hedge || node->now - last->sent_at < delay)
+	if (!last->open || last->hedge || node->now - last->sent_at < delay)
 		return true;
 
 	struct fleet_target *target = choose_replica(node, q, leaf, true);
--- a/gate.c
+++ b/gate.c
@@ -70,7 +70,7 @@
 
 static struct str keep_str(struct str s)
 {
-	return (struct str){keep(s), s.len};
+	return (struct str){ keep(s), s.len };
 }
 
 static void job_free(struct node *node, struct job *job)
@@ -169,7 +169,7 @@
 static void refuse(struct node *node, struct job *job, int status)
 {
 	node->counters[CNT_JOBS_REFUSED]++;
-	reply(node, job, status, false, (struct str){0});
+	reply(node, job, status, false, (struct str){ 0 });
 	job_free(node, job);
 }
 
@@ -391,7 +391,7 @@
 	if (!job->is_entry) {
 		job->state = JOB_RUNNING;
 		job->started_at = node->now;
-		fetch(node, job, FETCH_LEAF, (struct str){0});
+		fetch(node, job, FETCH_LEAF, (struct str){ 0 });
 		timer_add(&node->timers, job->deadline, TIMER_JOB, job->number);
 		return;
 	}
@@ -444,7 +444,7 @@
 static struct job *job_find(struct node *node, uint64_t origin,
 			    uint64_t incarnation, const struct msg *msg)
 {
-	struct job_key key = {origin, incarnation, msg->id, msg->attempt};
+	struct job_key key = { origin, incarnation, msg->id, msg->attempt };
 
 	return apr_hash_get(node->gate->keys, &key, sizeof(key));
 }
@@ -457,8 +457,8 @@
 	struct keyed_job *keyed = xcalloc(1, sizeof(*keyed));
 	struct job *job = &keyed->job;
 
-	keyed->key = (struct job_key){str_hash(from), incarnation, msg->id,
-				      msg->attempt};
+	keyed->key = (struct job_key){ str_hash(from), incarnation, msg->id,
+				       msg->attempt };
 	job->number = ++node->next_id;
 	job->origin = keyed->key.origin;
 	job->incarnation = incarnation;
@@ -566,10 +566,10 @@
 	if (job && node->opt.off.no_grant)
 		ended = false;
 	if (ended) {
-		struct msg no = {.kind = MSG_GO_REPLY,
-				 .id = msg->id,
-				 .attempt = msg->attempt,
-				 .status = ERR_GRANT_EXPIRED};
+		struct msg no = { .kind = MSG_GO_REPLY,
+				  .id = msg->id,
+				  .attempt = msg->attempt,
+				  .status = ERR_GRANT_EXPIRED };
 
 		node_send(node, from, incarnation, &no);
 		return;
@@ -581,7 +581,7 @@
 	if (!reason && !member_view_ok(node))
 		reason = ERR_ISOLATED;
 	if (reason) {
-		reply(node, job, reason, false, (struct str){0});
+		reply(node, job, reason, false, (struct str){ 0 });
 		bury(node, job);
 		release_slot(node, target);
 		return;
@@ -814,11 +814,11 @@
 	if (job->state == JOB_DONE) {
 		job_free(node, job);
 	} else if (job->state == JOB_GRANTED) {
-		reply(node, job, ERR_GRANT_EXPIRED, false, (struct str){0});
+		reply(node, job, ERR_GRANT_EXPIRED, false, (struct str){ 0 });
 		bury(node, job);
 		release_slot(node, target);
 	} else if (!job->cancelled && !job->is_entry) {
-		reply(node, job, ERR_DEADLINE, true, (struct str){0});
+		reply(node, job, ERR_DEADLINE, true, (struct str){ 0 });
 		job->deadline = node->now + GRACE_US;
 		cancel_running(node, job);
 	}
--- a/http.c
+++ b/http.c
@@ -195,7 +195,7 @@
 
 	p->handed = true;
 	if (p->too_large) {
-		struct buf out = {0};
+		struct buf out = { 0 };
 
 		error_json(&out, ERR_TOO_LARGE, "body", 0);
 		http_reply(&p->req, error_info(ERR_TOO_LARGE)->status,
@@ -295,7 +295,7 @@
 				size_t max_body, struct http_handler handler,
 				struct error *err)
 {
-	struct sockaddr_in sin = {.sin_family = AF_INET};
+	struct sockaddr_in sin = { .sin_family = AF_INET };
 	struct http_server *server;
 	char ip[INET_ADDRSTRLEN];
 	uint16_t port;
@@ -332,7 +332,7 @@
 
 	server->watch =
 		loop_add(loop, info->epoll_fd, APR_POLLIN, on_ready, server);
-	loop_hook(loop, (struct loop_hook){run, wait_us, server});
+	loop_hook(loop, (struct loop_hook){ run, wait_us, server });
 	return server;
 }
 
--- a/json.c
+++ b/json.c
@@ -129,9 +129,10 @@
 {
 	if (!json_is_string(value)) {
 		json_fault(in, place, "field \"%s\" must be a string", key);
-		return (struct str){0};
+		return (struct str){ 0 };
 	}
-	struct str text = {json_string_value(value), json_string_length(value)};
+	struct str text = { json_string_value(value),
+			    json_string_length(value) };
 
 	if (!text.len || text.len > max)
 		json_fault(in, place, "field \"%s\" must have 1 to %zu bytes",
@@ -144,7 +145,8 @@
 {
 	json_t *value = field(in, place, obj, key);
 
-	return value ? text_value(in, place, value, key, max) : (struct str){0};
+	return value ? text_value(in, place, value, key, max)
+		     : (struct str){ 0 };
 }
 
 json_t *json_list(struct json_in *in, const char *place, json_t *obj,
--- a/log.c
+++ b/log.c
@@ -30,7 +30,7 @@
 	return event->evt_msg;
 }
 
-static const log4c_layout_type_t json_layout = {"json", json_format};
+static const log4c_layout_type_t json_layout = { "json", json_format };
 
 void log_init(struct str level)
 {
@@ -64,7 +64,7 @@
 	char when[APR_RFC822_DATE_LEN + 16];
 	apr_time_exp_t now;
 	apr_size_t len;
-	struct buf line = {0};
+	struct buf line = { 0 };
 
 	if (!category)
 		return;
--- a/member.c
+++ b/member.c
@@ -23,7 +23,7 @@
 
 	memcpy(copy, addr.ptr, addr.len);
 	copy[addr.len] = '\0';
-	vm->addr = (struct str){copy, addr.len};
+	vm->addr = (struct str){ copy, addr.len };
 	vm->key = str_hash(addr);
 	vm->heard_at = INT64_MIN;
 	vm->known_at = node->now;
@@ -53,7 +53,7 @@
 	memcpy(copy, domain.ptr, domain.len);
 	copy[domain.len] = '\0';
 	free((char *)vm->domain.ptr);
-	vm->domain = (struct str){copy, domain.len};
+	vm->domain = (struct str){ copy, domain.len };
 }
 
 struct vm *member_find(const struct node *node, uint64_t key)
@@ -86,7 +86,7 @@
 
 static uint64_t weight(uint64_t key, uint64_t vm)
 {
-	uint64_t pair[2] = {key, vm};
+	uint64_t pair[2] = { key, vm };
 
 	return XXH64(pair, sizeof(pair), 0);
 }
@@ -418,7 +418,7 @@
 
 void member_set_state(struct node *node, enum vm_state state)
 {
-	static const char *const names[] = {"starting", "live", "leaving"};
+	static const char *const names[] = { "starting", "live", "leaving" };
 	struct vm *self = node->member->vms[0];
 
 	if (self->state == state)
--- a/node.c
+++ b/node.c
@@ -133,7 +133,7 @@
 void node_refuse(struct node *node, uint64_t caller, int code, const char *text,
 		 int64_t retry_after_us)
 {
-	struct buf out = {0};
+	struct buf out = { 0 };
 
 	error_json(&out, code, text, (retry_after_us + 999) / 1000);
 	node_answer(node, caller, error_info(code)->status, buf_str(&out));
@@ -143,7 +143,7 @@
 void node_audit(struct node *node, const char *what, struct str from,
 		struct str to, const char *why, uint64_t version)
 {
-	struct buf out = {0};
+	struct buf out = { 0 };
 	struct effect *fx = effects_add(node->fx, FX_AUDIT);
 
 	buf_printf(&out, "{\"what\":\"%s\",\"from\":", what);
@@ -234,22 +234,22 @@
 }
 
 static const struct handler handlers[MSG_KINDS] = {
-	[MSG_HEARTBEAT] = {member_heard},
-	[MSG_PROBE] = {member_probed},
-	[MSG_DOC_GET] = {conf_asked},
-	[MSG_DOC] = {on_doc},
-	[MSG_LEAF] = {gate_leaf},
-	[MSG_LEAF_REPLY] = {front_reply},
-	[MSG_CANCEL] = {gate_cancel},
-	[MSG_RESERVE] = {gate_reserve},
-	[MSG_GRANT] = {once_grant},
-	[MSG_GO] = {gate_go},
-	[MSG_GO_REPLY] = {once_go_reply},
-	[MSG_RELEASE] = {gate_cancel},
-	[MSG_FORWARD] = {once_forwarded},
-	[MSG_FORWARD_REPLY] = {once_forward_reply},
-	[MSG_LEASE] = {quota_lease},
-	[MSG_LEASE_REPLY] = {on_lease_reply},
+	[MSG_HEARTBEAT] = { member_heard },
+	[MSG_PROBE] = { member_probed },
+	[MSG_DOC_GET] = { conf_asked },
+	[MSG_DOC] = { on_doc },
+	[MSG_LEAF] = { gate_leaf },
+	[MSG_LEAF_REPLY] = { front_reply },
+	[MSG_CANCEL] = { gate_cancel },
+	[MSG_RESERVE] = { gate_reserve },
+	[MSG_GRANT] = { once_grant },
+	[MSG_GO] = { gate_go },
+	[MSG_GO_REPLY] = { once_go_reply },
+	[MSG_RELEASE] = { gate_cancel },
+	[MSG_FORWARD] = { once_forwarded },
+	[MSG_FORWARD_REPLY] = { once_forward_reply },
+	[MSG_LEASE] = { quota_lease },
+	[MSG_LEASE_REPLY] = { on_lease_reply },
 };
 
 static void on_msg(struct node *node, struct str from, uint64_t incarnation,
--- a/once.c
+++ b/once.c
@@ -96,9 +96,9 @@
 			     const struct ticket *ticket, struct str customer,
 			     struct str request_id)
 {
-	uint64_t parts[] = {node->once->secret, ticket->seq,
-			    (uint64_t)ticket->issued_at, str_hash(customer),
-			    str_hash(request_id)};
+	uint64_t parts[] = { node->once->secret, ticket->seq,
+			     (uint64_t)ticket->issued_at, str_hash(customer),
+			     str_hash(request_id) };
 
 	return XXH64(parts, sizeof(parts), node->once->secret);
 }
@@ -167,7 +167,7 @@
 	const char *text = not_run ? "it did not run and never will under "
 				     "this ticket"
 				   : "it may have run";
-	struct buf error = {0};
+	struct buf error = { 0 };
 
 	error_json(&error, record->code, text,
 		   not_run ? record->retry_us / 1000 : 0);
@@ -185,7 +185,7 @@
 		      const char *text, int64_t retry_us, struct str ticket,
 		      struct buf *out)
 {
-	struct buf error = {0};
+	struct buf error = { 0 };
 
 	buf_str_add(out, STR("{\"request_id\":"));
 	buf_json_add(out, request_id);
@@ -206,10 +206,10 @@
 		return;
 	}
 
-	struct msg msg = {.kind = MSG_FORWARD_REPLY,
-			  .id = waiter->forward,
-			  .status = status,
-			  .body = body};
+	struct msg msg = { .kind = MSG_FORWARD_REPLY,
+			   .id = waiter->forward,
+			   .status = status,
+			   .body = body };
 
 	node_send(node, waiter->addr, waiter->incarnation, &msg);
 }
@@ -218,7 +218,7 @@
 		       struct str request_id, const char *outcome, int code,
 		       const char *text, int64_t retry_us, struct str ticket)
 {
-	struct buf out = {0};
+	struct buf out = { 0 };
 	int status = plain_json(request_id, outcome, code, text, retry_us,
 				ticket, &out);
 
@@ -229,7 +229,7 @@
 static void tell_record(struct node *node, const struct record *record,
 			const struct waiter *waiter)
 {
-	struct buf out = {0};
+	struct buf out = { 0 };
 	int status = outcome_json(record, &out);
 
 	tell(node, waiter, status, buf_str(&out));
@@ -345,7 +345,7 @@
 
 static void set_not_run(struct node *node, struct record *record, int code)
 {
-	conclude(node, record, RECORD_NOT_RUN, code, (struct str){0});
+	conclude(node, record, RECORD_NOT_RUN, code, (struct str){ 0 });
 }
 
 /* Two steps: a slot first, then the body. */
@@ -432,9 +432,9 @@
 static void release(struct node *node, const struct record *record,
 		    struct str addr)
 {
-	struct msg msg = {.kind = MSG_RELEASE,
-			  .id = record->seq,
-			  .attempt = record->attempt};
+	struct msg msg = { .kind = MSG_RELEASE,
+			   .id = record->seq,
+			   .attempt = record->attempt };
 
 	node_send(node, addr, record->gate_incarnation, &msg);
 }
@@ -489,7 +489,7 @@
 	else
 		conclude(node, record,
 			 msg->ran ? RECORD_UNKNOWN : RECORD_NOT_RUN,
-			 msg->status, (struct str){0});
+			 msg->status, (struct str){ 0 });
 }
 
 void once_timer(struct node *node, uint64_t seq)
@@ -500,7 +500,7 @@
 		return;
 	if (record->state == RECORD_SENT) {
 		conclude(node, record, RECORD_UNKNOWN, ERR_DEADLINE,
-			 (struct str){0});
+			 (struct str){ 0 });
 		return;
 	}
 
@@ -517,7 +517,7 @@
 		reserve(node, record, ERR_GATE_LOST);
 	else if (record->state == RECORD_SENT)
 		conclude(node, record, RECORD_UNKNOWN, ERR_GATE_LOST,
-			 (struct str){0});
+			 (struct str){ 0 });
 }
 
 /* Forwards. */
@@ -535,15 +535,15 @@
 
 static void forward_lost(struct node *node, struct forward *forward)
 {
-	struct buf out = {0};
+	struct buf out = { 0 };
 	bool harmless = forward->kind == FORWARD_TICKET;
 	int code = harmless ? ERR_OVERLOADED : ERR_ISSUER_GONE;
-	int status = plain_json((struct str){0},
-				harmless ? "not_run" : "unknown", code,
-				harmless ? "no ticket was issued"
-					 : "the VM that issued the ticket did "
-					   "not answer",
-				harmless ? RETRY_US : 0, (struct str){0}, &out);
+	int status = plain_json(
+		(struct str){ 0 }, harmless ? "not_run" : "unknown", code,
+		harmless ? "no ticket was issued"
+			 : "the VM that issued the ticket did "
+			   "not answer",
+		harmless ? RETRY_US : 0, (struct str){ 0 }, &out);
 
 	forward_end(node, forward, status, buf_str(&out));
 	buf_free(&out);
@@ -553,7 +553,7 @@
 		       enum forward_kind kind, struct str body)
 {
 	struct forward *forward = xcalloc(1, sizeof(*forward));
-	struct msg msg = {.kind = MSG_FORWARD, .attempt = kind, .body = body};
+	struct msg msg = { .kind = MSG_FORWARD, .attempt = kind, .body = body };
 
 	forward->id = ++node->next_id;
 	forward->caller = caller;
@@ -651,7 +651,7 @@
 		tell_plain(node, waiter, entry->request_id, "unknown",
 			   ERR_TICKET_MISMATCH,
 			   "the ticket was used for another entry", 0,
-			   (struct str){0});
+			   (struct str){ 0 });
 		return;
 	}
 	node->counters[CNT_ENTRIES_REPEATED]++;
@@ -673,7 +673,7 @@
 		tell_plain(node, waiter, entry->request_id, "not_run",
 			   ERR_TICKET_INVALID,
 			   "the ticket does not fit request id and customer", 0,
-			   (struct str){0});
+			   (struct str){ 0 });
 		return;
 	}
 	if (record) {
@@ -692,7 +692,7 @@
 			   code,
 			   code == ERR_NOT_FOUND ? "the ticket was not used yet"
 						 : "",
-			   0, (struct str){0});
+			   0, (struct str){ 0 });
 		return;
 	}
 	node->counters[CNT_ENTRIES]++;
@@ -734,7 +734,7 @@
 static void give_ticket(struct node *node, struct str body,
 			const struct waiter *waiter)
 {
-	struct buf out = {0};
+	struct buf out = { 0 };
 	char text[TICKET_MAX];
 	struct error err;
 	struct entry entry;
@@ -743,10 +743,10 @@
 	apr_pool_create(&pool, node->once->pool);
 	if (entry_parse(body, true, pool, &entry, &err)) {
 		tell_plain(node, waiter, entry.request_id, "not_run", err.code,
-			   err.text, 0, (struct str){0});
+			   err.text, 0, (struct str){ 0 });
 	} else if (!lists_plan(node->lists, entry.customer)) {
 		tell_plain(node, waiter, entry.request_id, "not_run",
-			   ERR_UNKNOWN_CUSTOMER, "", 0, (struct str){0});
+			   ERR_UNKNOWN_CUSTOMER, "", 0, (struct str){ 0 });
 	} else {
 		buf_str_add(&out, STR("{\"request_id\":"));
 		buf_json_add(&out, entry.request_id);
@@ -778,14 +778,14 @@
 {
 	if (node->lists && node->fleet && member_state(node) != VM_STARTING)
 		return false;
-	tell_plain(node, waiter, (struct str){0}, "not_run", ERR_STARTING, "",
-		   RETRY_US, (struct str){0});
+	tell_plain(node, waiter, (struct str){ 0 }, "not_run", ERR_STARTING, "",
+		   RETRY_US, (struct str){ 0 });
 	return true;
 }
 
 void once_ticket(struct node *node, uint64_t caller, struct str body)
 {
-	struct waiter waiter = {.caller = caller};
+	struct waiter waiter = { .caller = caller };
 
 	if (refuse_starting(node, &waiter) ||
 	    pass_on(node, &waiter, FORWARD_TICKET, body))
@@ -807,7 +807,7 @@
 	if (!ticket_parse(entry->ticket, &ticket)) {
 		tell_plain(node, waiter, entry->request_id, "not_run",
 			   ERR_TICKET_INVALID, "not a ticket", 0,
-			   (struct str){0});
+			   (struct str){ 0 });
 		return;
 	}
 	issuer = member_find(node, str_hash(ticket.addr));
@@ -826,38 +826,40 @@
 		tell_plain(node, waiter, entry->request_id, "unknown",
 			   ERR_ISSUER_GONE,
 			   "the VM that issued the ticket is gone or cut off",
-			   0, (struct str){0});
+			   0, (struct str){ 0 });
 	}
 }
 
 static void handle(struct node *node, struct str body, bool lookup,
 		   const struct waiter *waiter)
 {
-	struct error err = {0};
+	struct error err = { 0 };
 	struct entry entry;
 	apr_pool_t *pool;
 
-	if (refuse_starting(node, waiter))
-		return;
 	apr_pool_create(&pool, node->once->pool);
 	if (entry_parse(body, lookup, pool, &entry, &err))
 		tell_plain(node, waiter, entry.request_id, "not_run", err.code,
-			   err.text, 0, (struct str){0});
-	else
+			   err.text, 0, (struct str){ 0 });
+	/*
+	 * What has a ticket may have run under it before: a node that has just
+	 * started cannot call it "not run", only its issuer can.
+	 */
+	else if (entry.ticket.len || !refuse_starting(node, waiter))
 		route(node, body, lookup, waiter, &entry);
 	apr_pool_destroy(pool);
 }
 
 void once_entry(struct node *node, uint64_t caller, struct str body)
 {
-	struct waiter waiter = {.caller = caller};
+	struct waiter waiter = { .caller = caller };
 
 	handle(node, body, false, &waiter);
 }
 
 void once_lookup(struct node *node, uint64_t caller, struct str body)
 {
-	struct waiter waiter = {.caller = caller};
+	struct waiter waiter = { .caller = caller };
 
 	handle(node, body, true, &waiter);
 }
@@ -865,8 +867,9 @@
 void once_forwarded(struct node *node, struct str from, uint64_t incarnation,
 		    const struct msg *msg)
 {
-	struct waiter waiter = {
-		.addr = from, .incarnation = incarnation, .forward = msg->id};
+	struct waiter waiter = { .addr = from,
+				 .incarnation = incarnation,
+				 .forward = msg->id };
 
 	if (msg->attempt != FORWARD_TICKET)
 		handle(node, msg->body, msg->attempt == FORWARD_LOOKUP,
--- a/peer.c
+++ b/peer.c
@@ -132,7 +132,7 @@
 
 	if (addr_split(addr, ip, sizeof(ip), &port))
 		return -1;
-	*sin = (struct sockaddr_in){.sin_family = AF_INET};
+	*sin = (struct sockaddr_in){ .sin_family = AF_INET };
 	inet_pton(AF_INET, ip, &sin->sin_addr);
 	sin->sin_port = htons(port);
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -254,9 +254,9 @@
 	size_t at = 0;
 
 	for (;;) {
-		struct str rest = {inlet->in.ptr + at, inlet->in.len - at};
-		struct frame frame = {0};
-		struct error err = {0};
+		struct str rest = { inlet->in.ptr + at, inlet->in.len - at };
+		struct frame frame = { 0 };
+		struct error err = { 0 };
 		int used = frame_decode(rest, &frame, &err);
 
 		if (used < 0) {
--- a/quota.c
+++ b/quota.c
@@ -108,7 +108,7 @@
 		copy[name.len] = '\0';
 		account = xcalloc(1, sizeof(*account));
 		account->key = key;
-		account->name = (struct str){copy, name.len};
+		account->name = (struct str){ copy, name.len };
 		account->recent_at = node->now;
 		apr_hash_set(node->quota->customers, &account->key,
 			     sizeof(account->key), account);
@@ -157,7 +157,7 @@
 		burst = 1;
 	if (!account->share_started) {
 		account->share_started = true;
-		account->share = (struct bucket){burst, node->now};
+		account->share = (struct bucket){ burst, node->now };
 	}
 	fill(&account->share, plan->rate / n, burst, node->now);
 	*retry_us = time_to_one(&account->share, plan->rate / n);
@@ -210,7 +210,7 @@
 			      const struct plan *plan, uint64_t waiter,
 			      int64_t *retry_us)
 {
-	struct vm *owner = member_owner(node, account->key, (struct str){0});
+	struct vm *owner = member_owner(node, account->key, (struct str){ 0 });
 
 	note_recent(node, account);
 	if (!owner || node->quota->policy == QUOTA_SPLIT)
@@ -354,7 +354,7 @@
 	}
 	free(waiters);
 
-	struct vm *owner = member_owner(node, account->key, (struct str){0});
+	struct vm *owner = member_owner(node, account->key, (struct str){ 0 });
 
 	if (account->nwaiters && owner && !account->asked)
 		ask_owner(node, account, owner);
--- a/serve.c
+++ b/serve.c
@@ -72,18 +72,18 @@
 static void on_fetched(void *ctx, uint64_t id, const struct fetch_reply *reply)
 {
 	struct call *call = ctx;
-	struct fetched got = {.result = reply->result,
-			      .status = reply->status,
-			      .resent = reply->resent,
-			      .load = -1};
-	struct buf rows = {0};
+	struct fetched got = { .result = reply->result,
+			       .status = reply->status,
+			       .resent = reply->resent,
+			       .load = -1 };
+	struct buf rows = { 0 };
 
 	if (reply->result == FETCH_OK)
 		target_reply(reply->body, reply->status, &got, &rows);
 	if (call->kind != FETCH_CANCEL)
-		feed(call->server, (struct event){.type = EV_FETCHED,
-						  .id = id,
-						  .fetched = &got});
+		feed(call->server, (struct event){ .type = EV_FETCHED,
+						   .id = id,
+						   .fetched = &got });
 	buf_free(&rows);
 	free(call);
 }
@@ -91,7 +91,7 @@
 static void do_fetch(struct server *s, const struct effect *fx)
 {
 	struct call *call = xmalloc(sizeof(*call));
-	struct buf url = {0};
+	struct buf url = { 0 };
 	struct fetch_request request = {
 		.remaining_us = fx->wait_us,
 		.timeout_us = fx->wait_us + GRACE_US,
@@ -101,7 +101,7 @@
 		.id = fx->id,
 	};
 
-	*call = (struct call){s, fx->fetch};
+	*call = (struct call){ s, fx->fetch };
 	target_url(fx, &url);
 	request.url = buf_str(&url);
 	if (fx->fetch == FETCH_ENTRY)
@@ -117,7 +117,8 @@
 static void on_doc(void *ctx, uint64_t id, const struct fetch_reply *reply)
 {
 	struct server *s = ctx;
-	struct event event = {.type = EV_DOC_FAILED, .doc = (enum doc_kind)id};
+	struct event event = { .type = EV_DOC_FAILED,
+			       .doc = (enum doc_kind)id };
 
 	if (reply->result == FETCH_OK && reply->status == 200) {
 		event.type = EV_DOC;
@@ -135,7 +136,7 @@
 	const struct config *config = s->config;
 	struct str addr =
 		config->platforms[s->platform[fx->doc] % config->nplatforms];
-	struct buf url = {0};
+	struct buf url = { 0 };
 
 	buf_printf(&url, "http://%.*s/%s?after=%llu&hash=%llx&wait_ms=%lld",
 		   STR_ARG(addr), doc_name(fx->doc),
@@ -199,7 +200,7 @@
 	size_t done = 0;
 
 	if (loop_now() >= node_wake_at(s->node))
-		feed(s, (struct event){.type = EV_TICK});
+		feed(s, (struct event){ .type = EV_TICK });
 	while (done < s->fx.count) {
 		while (done < s->fx.count) {
 			struct effect fx = s->fx.list[done++];
@@ -227,15 +228,15 @@
 	struct server *s = ctx;
 
 	for (size_t i = 0; i < frame->count; i++)
-		feed(s, (struct event){.type = EV_MSG,
-				       .from = frame->from,
-				       .incarnation = frame->from_incarnation,
-				       .msg = &frame->msgs[i]});
+		feed(s, (struct event){ .type = EV_MSG,
+					.from = frame->from,
+					.incarnation = frame->from_incarnation,
+					.msg = &frame->msgs[i] });
 }
 
 static void on_lost(void *ctx, struct str addr)
 {
-	feed(ctx, (struct event){.type = EV_PEER_LOST, .from = addr});
+	feed(ctx, (struct event){ .type = EV_PEER_LOST, .from = addr });
 }
 
 static void on_bad(void *ctx, const struct error *err)
@@ -250,7 +251,7 @@
 
 static void reply_error(struct http_request *req, int code, const char *text)
 {
-	struct buf out = {0};
+	struct buf out = { 0 };
 
 	error_json(&out, code, text, 0);
 	http_reply(req, error_info(code)->status, buf_str(&out));
@@ -274,10 +275,10 @@
 };
 
 static const struct route routes[] = {
-	{"/v1/questions", EV_ASK},
-	{"/v1/tickets", EV_TICKET},
-	{"/v1/entries", EV_ENTRY},
-	{"/v1/lookups", EV_LOOKUP},
+	{ "/v1/questions", EV_ASK },
+	{ "/v1/tickets", EV_TICKET },
+	{ "/v1/entries", EV_ENTRY },
+	{ "/v1/lookups", EV_LOOKUP },
 };
 
 static void on_caller(void *ctx, struct http_request *req)
@@ -296,9 +297,9 @@
 			return;
 		}
 		apr_hash_set(s->requests, &req->id, sizeof(req->id), req);
-		feed(s, (struct event){.type = routes[i].type,
-				       .id = req->id,
-				       .body = req->body});
+		feed(s, (struct event){ .type = routes[i].type,
+					.id = req->id,
+					.body = req->body });
 		return;
 	}
 	reply_error(req, ERR_NOT_FOUND, "no such path");
@@ -311,7 +312,7 @@
 	if (!apr_hash_get(s->requests, &req->id, sizeof(req->id)))
 		return;
 	apr_hash_set(s->requests, &req->id, sizeof(req->id), NULL);
-	feed(s, (struct event){.type = EV_CALLER_GONE, .id = req->id});
+	feed(s, (struct event){ .type = EV_CALLER_GONE, .id = req->id });
 }
 
 /* Operators. */
@@ -319,13 +320,13 @@
 static void begin_stop(struct server *s)
 {
 	http_closing(s->callers, true);
-	feed(s, (struct event){.type = EV_LEAVE});
+	feed(s, (struct event){ .type = EV_LEAVE });
 }
 
 static void on_operator(void *ctx, struct http_request *req)
 {
 	struct server *s = ctx;
-	struct buf out = {0};
+	struct buf out = { 0 };
 
 	if (str_eq(req->path, STR("/status"))) {
 		status_json(s->node, &out);
@@ -391,17 +392,17 @@
 
 	s->peers = peers_create(
 		s->loop, config->peer, incarnation,
-		(struct peer_handler){on_frame, on_lost, on_bad, s}, err);
+		(struct peer_handler){ on_frame, on_lost, on_bad, s }, err);
 	if (!s->peers)
 		return err->code;
 	s->callers = http_listen(
 		s->loop, config->callers, ASK_BODY_MAX,
-		(struct http_handler){on_caller, on_caller_gone, s}, err);
+		(struct http_handler){ on_caller, on_caller_gone, s }, err);
 	if (!s->callers)
 		return err->code;
 	s->operators =
 		http_listen(s->loop, config->operators, ASK_BODY_MAX,
-			    (struct http_handler){on_operator, NULL, s}, err);
+			    (struct http_handler){ on_operator, NULL, s }, err);
 	return s->operators ? 0 : err->code;
 }
 
@@ -420,7 +421,7 @@
 	};
 
 	s->node = node_create(&opt, loop_now(), &s->fx);
-	loop_hook(s->loop, (struct loop_hook){carry_out, wait_us, s});
+	loop_hook(s->loop, (struct loop_hook){ carry_out, wait_us, s });
 }
 
 /* Answers that are given may still be on their way to the sockets. */
@@ -459,9 +460,9 @@
 
 int serve(const struct config *config)
 {
-	struct server s = {.config = config};
+	struct server s = { .config = config };
 	uint64_t incarnation = random_u64() | 1;
-	struct error err = {0};
+	struct error err = { 0 };
 	int code;
 
 	apr_pool_create(&s.pool, NULL);
--- a/status.c
+++ b/status.c
@@ -6,7 +6,7 @@
 #include "once.h"
 #include "quota.h"
 
-static const char *const states[] = {"starting", "live", "leaving"};
+static const char *const states[] = { "starting", "live", "leaving" };
 
 static void vm_json(const struct node *node, const struct vm *vm,
 		    struct buf *out)
--- a/str.c
+++ b/str.c
@@ -26,7 +26,7 @@
 	if (s.len)
 		memcpy(copy, s.ptr, s.len);
 	copy[s.len] = '\0';
-	return (struct str){copy, s.len};
+	return (struct str){ copy, s.len };
 }
 
 void buf_reserve(struct buf *buf, size_t more)
@@ -97,5 +97,5 @@
 void buf_free(struct buf *buf)
 {
 	free(buf->ptr);
-	*buf = (struct buf){0};
+	*buf = (struct buf){ 0 };
 }
--- a/str.h
+++ b/str.h
@@ -17,7 +17,7 @@
 	size_t len;
 };
 
-#define STR(lit) ((struct str){(lit), sizeof(lit) - 1})
+#define STR(lit) ((struct str){ (lit), sizeof(lit) - 1 })
 /** Arguments for a "%.*s" conversion. */
 #define STR_ARG(s) (int)(s).len, (s).ptr ? (s).ptr : ""
 
@@ -35,7 +35,7 @@
 
 static inline struct str str_of(const char *cstr)
 {
-	return (struct str){cstr, cstr ? strlen(cstr) : 0};
+	return (struct str){ cstr, cstr ? strlen(cstr) : 0 };
 }
 
 static inline bool str_eq(struct str a, struct str b)
@@ -45,7 +45,7 @@
 
 static inline struct str buf_str(const struct buf *buf)
 {
-	return (struct str){buf->ptr, buf->len};
+	return (struct str){ buf->ptr, buf->len };
 }
 
 /** str_hash() - 64 bit xxHash of the bytes; never 0, which means "none". */
--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -96,7 +96,7 @@
 		http_reply(req, 304, STR(""));
 	} else {
 		p->waiters[p->nwaiters++] =
-			(struct waiter){req, kind, loop_now() + wait};
+			(struct waiter){ req, kind, loop_now() + wait };
 	}
 }
 
@@ -113,7 +113,7 @@
 static void on_request(void *ctx, struct http_request *req)
 {
 	struct platform *p = ctx;
-	struct buf out = {0};
+	struct buf out = { 0 };
 
 	for (int kind = 0; kind < DOC_KINDS; kind++) {
 		const char *name = doc_name((enum doc_kind)kind);
@@ -168,7 +168,7 @@
 int main(int argc, char **argv)
 {
 	struct platform *p = xcalloc(1, sizeof(*p));
-	struct error err = {0};
+	struct error err = { 0 };
 
 	if (argc != 4) {
 		fprintf(stderr, "usage: fake-platform IP:PORT LISTS FLEET\n");
@@ -179,11 +179,12 @@
 	if (file_read(argv[2], DOC_MAX, &p->now[DOC_LISTS], &err) ||
 	    file_read(argv[3], DOC_MAX, &p->now[DOC_FLEET], &err) ||
 	    !http_listen(p->loop, str_of(argv[1]), BODY_MAX,
-			 (struct http_handler){on_request, on_gone, p}, &err)) {
+			 (struct http_handler){ on_request, on_gone, p },
+			 &err)) {
 		fprintf(stderr, "fake-platform: %s\n", err.text);
 		return 1;
 	}
-	loop_hook(p->loop, (struct loop_hook){expire, NULL, p});
+	loop_hook(p->loop, (struct loop_hook){ expire, NULL, p });
 	loop_run(p->loop);
 	return 0;
 }
--- a/tests/fake_targets.c
+++ b/tests/fake_targets.c
@@ -236,7 +236,7 @@
 static void reply_short(struct leaf *leaf, struct http_request *req, int status,
 			const char *field)
 {
-	struct buf out = {0};
+	struct buf out = { 0 };
 
 	head_json(leaf, &out);
 	buf_printf(&out, ",%s}", field);
@@ -249,7 +249,7 @@
 	struct http_request *req = work->req;
 	int64_t shard = query_int(req, "shard", 0);
 	int64_t version = query_int(req, "version", 0);
-	struct buf out = {0};
+	struct buf out = { 0 };
 
 	if (leaf->knobs.wrong_version)
 		version++;
@@ -475,7 +475,7 @@
 static void on_control(void *ctx, struct http_request *req)
 {
 	struct farm *farm = ctx;
-	struct buf out = {0};
+	struct buf out = { 0 };
 
 	if (str_eq(req->path, STR("/set")))
 		set(farm, req);
@@ -507,12 +507,12 @@
 
 static void parse_knobs(struct knobs *knobs, int argc, char **argv)
 {
-	*knobs = (struct knobs){.service_us = 3000,
-				.connect_us = 1000,
-				.cold_us = 1000000,
-				.cold_bears = 1,
-				.factor = 10,
-				.lacks = -2};
+	*knobs = (struct knobs){ .service_us = 3000,
+				 .connect_us = 1000,
+				 .cold_us = 1000000,
+				 .cold_bears = 1,
+				 .factor = 10,
+				 .lacks = -2 };
 	for (int i = 0; i < argc; i++) {
 		char *equals = strchr(argv[i], '=');
 
@@ -541,7 +541,8 @@
 		leaf->boot = rng_next(&farm->rng);
 		leaf->server = http_listen(
 			farm->loop, leaf->listed->addr, BODY_MAX,
-			(struct http_handler){on_request, on_gone, leaf}, err);
+			(struct http_handler){ on_request, on_gone, leaf },
+			err);
 		if (!leaf->server)
 			return err->code;
 	}
@@ -551,8 +552,8 @@
 int main(int argc, char **argv)
 {
 	struct farm *farm = xcalloc(1, sizeof(*farm));
-	struct error err = {0};
-	struct buf body = {0};
+	struct error err = { 0 };
+	struct buf body = { 0 };
 	struct knobs knobs;
 
 	if (argc < 3) {
@@ -570,11 +571,12 @@
 		farm->fleet = fleet_parse(buf_str(&body), &err);
 	if (!farm->fleet || open_leafs(farm, &knobs, &err) ||
 	    !http_listen(farm->loop, str_of(argv[1]), BODY_MAX,
-			 (struct http_handler){on_control, NULL, farm}, &err)) {
+			 (struct http_handler){ on_control, NULL, farm },
+			 &err)) {
 		fprintf(stderr, "fake-targets: %s\n", err.text);
 		return 1;
 	}
-	loop_hook(farm->loop, (struct loop_hook){run, wait_us, farm});
+	loop_hook(farm->loop, (struct loop_hook){ run, wait_us, farm });
 	loop_run(farm->loop);
 	return 0;
 }
--- a/timer.c
+++ b/timer.c
@@ -51,7 +51,7 @@
 					timers->cap * sizeof(struct timer));
 	}
 	timers->heap[timers->count] =
-		(struct timer){when, timers->order++, kind, id};
+		(struct timer){ when, timers->order++, kind, id };
 	sift_up(timers->heap, timers->count++);
 }
 
@@ -73,5 +73,5 @@
 void timers_free(struct timers *timers)
 {
 	free(timers->heap);
-	*timers = (struct timers){0};
+	*timers = (struct timers){ 0 };
 }
--- a/wire.c
+++ b/wire.c
@@ -19,12 +19,12 @@
 
 static ProtobufCBinaryData to_bytes(struct str s)
 {
-	return (ProtobufCBinaryData){s.len, (uint8_t *)s.ptr};
+	return (ProtobufCBinaryData){ s.len, (uint8_t *)s.ptr };
 }
 
 static struct str from_bytes(ProtobufCBinaryData data)
 {
-	return (struct str){(const char *)data.data, data.len};
+	return (struct str){ (const char *)data.data, data.len };
 }
 
 static void msg_pack(const struct msg *msg, Wire__Msg *out)
@@ -99,9 +99,10 @@
 	wire.msgs = ptrs;
 
 	size_t len = wire__frame__get_packed_size(&wire);
-	unsigned char header[WIRE_HEADER] = {
-		(unsigned char)(len >> 24), (unsigned char)(len >> 16),
-		(unsigned char)(len >> 8), (unsigned char)len};
+	unsigned char header[WIRE_HEADER] = { (unsigned char)(len >> 24),
+					      (unsigned char)(len >> 16),
+					      (unsigned char)(len >> 8),
+					      (unsigned char)len };
 
 	buf_add(out, header, sizeof(header));
 	buf_reserve(out, len);
@@ -166,5 +167,5 @@
 {
 	free(frame->msgs);
 	wire__frame__free_unpacked(frame->owner, NULL);
-	*frame = (struct frame){0};
+	*frame = (struct frame){ 0 };
 }
