Ramp, view after a pause, idle targets: found by turning safeguards off

Cause: with a safeguard turned off the fuzzing did not fail, so its oracle was blind there; made to see, it showed faults in the safeguards themselves. 1. Ramp: a step came by time and count alone, while the target was still cold. Now answers must be about as fast as when warm; those that a front gave up on are not left out silently (they are the slow ones). 2. Pause: the view counted as confirmed by a peer's heartbeat that named a newer document which had not come yet. 3. An idle target may restart unseen: one request goes first. 4. Tombstones of entries ended with the grant's old deadline. Ruled out: two gates at a time, cancelled jobs leaving slots taken.

--- a/conf.c
+++ b/conf.c
@@ -31,6 +31,16 @@
 	return node->conf->joined;
 }
 
+bool conf_behind(const struct node *node)
+{
+	const struct conf *conf = node->conf;
+
+	for (int i = 0; i < DOC_KINDS; i++)
+		if (conf->docs[i].behind > conf->docs[i].version)
+			return true;
+	return false;
+}
+
 static bool is_watcher(const struct node *node, enum doc_kind kind)
 {
 	return !node->conf->joined || member_rank(node, kind + 1) < WATCHERS;
@@ -174,6 +184,7 @@
 	if (doc->refused == hash)
 		return;
 	doc->refused = hash;
+	doc->behind = doc->version;
 	node->counters[CNT_DOCS_REFUSED]++;
 	audit_doc(node, kind, doc->version, doc->version, err->text);
 }
@@ -340,14 +351,6 @@
 	read_again(node, kind);
 }
 
-static bool is_behind(const struct conf *conf)
-{
-	for (int i = 0; i < DOC_KINDS; i++)
-		if (conf->docs[i].behind > conf->docs[i].version)
-			return true;
-	return false;
-}
-
 /*
  * A node that has just started beside a stale platform would put an old
  * document in force and act on it. So the first reading is only a candidate
@@ -360,7 +363,7 @@
 	if (conf->joined)
 		return;
 	if (node->now < conf->join_at ||
-	    (is_behind(conf) && node->now < conf->join_by)) {
+	    (conf_behind(node) && node->now < conf->join_by)) {
 		timer_add(&node->timers, node->now + JOIN_US / 4, TIMER_CONF,
 			  TIMER_JOIN);
 		return;
--- a/conf.h
+++ b/conf.h
@@ -53,4 +53,6 @@
 void conf_timer(struct node *node, uint64_t kind);
 /** conf_read_now() - read both documents at once (after a pause). */
 void conf_read_now(struct node *node);
+/** conf_behind() - a peer has a newer document than is in force here. */
+bool conf_behind(const struct node *node);
 bool conf_joined(const struct node *node);
--- a/front.c
+++ b/front.c
@@ -926,17 +926,29 @@
 	return attempt;
 }
 
-/* With the matching turned off (tests): any reply for the shard will do. */
-static struct attempt *find_loosely(struct question *q, const struct msg *msg,
+/* With the matching turned off (tests): any question with that shard. */
+static struct attempt *find_loosely(struct node *node, const struct msg *msg,
+				    struct question **q_out,
 				    struct leaf **leaf_out)
 {
-	for (size_t i = 0; i < q->nleafs; i++) {
-		struct leaf *leaf = &q->leafs[i];
+	for (apr_hash_index_t *it =
+		     apr_hash_first(NULL, node->front->questions);
+	     it; it = apr_hash_next(it)) {
+		void *value;
 
-		if (leaf->shard->id != msg->shard || !leaf->nattempts)
-			continue;
-		*leaf_out = leaf;
-		return &leaf->attempts[leaf->nattempts - 1];
+		apr_hash_this(it, NULL, NULL, &value);
+
+		struct question *q = value;
+
+		for (size_t i = 0; i < q->nleafs; i++) {
+			struct leaf *leaf = &q->leafs[i];
+
+			if (leaf->shard->id != msg->shard || !leaf->nattempts)
+				continue;
+			*q_out = q;
+			*leaf_out = leaf;
+			return &leaf->attempts[leaf->nattempts - 1];
+		}
 	}
 	return NULL;
 }
@@ -967,8 +979,8 @@
 
 	if (q && !q->waiting)
 		attempt = find_attempt(q, from, incarnation, msg, &leaf);
-	if (!attempt && q && !q->waiting && node->opt.off.no_attempt_match)
-		attempt = find_loosely(q, msg, &leaf);
+	if (node->opt.off.no_attempt_match)
+		attempt = find_loosely(node, msg, &q, &leaf);
 	if (!attempt || leaf->state != LEAF_OPEN) {
 		node->counters[CNT_LEAF_LATE]++;
 		return;
--- a/gate.c
+++ b/gate.c
@@ -9,17 +9,25 @@
 	FLOOR = 1,
 	RAMP_STREAK = 8,
 	HOLD_MIN_US = 500000,
+	HOLD_NEW_US = 2000000,
+	HOLD_STALE_US = 8000000,
+	SAME_FALL_US = 50000,
+	RELAPSE_US = 30000000,
 	HOLD_MAX_US = 16000000,
 	SLOW_FACTOR = 8,
 	SLOW_MIN_US = 50000,
 	SLOW_STREAK = 3,
 	SHED_STREAK = 3,
 	BROKEN_STREAK = 2,
-	BASELINE_SHIFT = 4,
+	SERVICE_SHIFT = 4,
+	DOWN_SHIFT = 3,
+	UP_SHIFT = 7,
+	WARM_FACTOR = 2,
 	FIRST_SERVICE_US = 5000,
 	QUEUE_MAX = 512,
 	GRANT_US = 300000,
 	GRACE_US = 2000000,
+	IDLE_US = 20000,
 	PROBE_MIN_US = 100000,
 	PROBE_MAX_US = 1000000,
 	PROBE_WAIT_US = 500000,
@@ -262,23 +270,27 @@
 
 /*
  * Any sign of a cold start takes the target to its floor at once: reports
- * lag, and a cold target that gets its full load falls over again. Each
- * relapse doubles the time that a step of the ramp takes, so a target whose
- * start is longer than expected is not pushed over time and again.
+ * lag, and a cold target that gets its full load falls over again. A relapse
+ * soon after a step doubles the time that steps take, so a target whose start
+ * is longer than expected is not pushed over time and again.
  */
 static void set_cold(struct node *node, struct target *target, const char *why)
 {
-	bool relapse = target->limit == FLOOR && target->streak < RAMP_STREAK;
+	int64_t since = node->now - target->step_at;
 
-	if (!relapse || !target->cold) {
-		audit_target(node, target, "cold", why);
-		if (target->cold && target->hold_us < HOLD_MAX_US)
-			target->hold_us *= 2;
-	}
 	node->counters[CNT_TARGET_COLD]++;
+	/* Several requests break in one fall: it counts once. */
+	if (target->cold && target->limit == FLOOR && since < SAME_FALL_US)
+		return;
+	audit_target(node, target, "cold", why);
+	if (target->cold && since < RELAPSE_US && target->hold_us < HOLD_MAX_US)
+		target->hold_us *= 2;
+	else if (since >= RELAPSE_US)
+		target->hold_us = HOLD_MIN_US;
 	target->cold++;
 	target->limit = node->opt.off.no_ramp ? target->slots : FLOOR;
 	target->streak = 0;
+	target->ramp_us = 0;
 	target->slow = 0;
 	target->sheds = 0;
 	target->step_at = node->now;
@@ -310,6 +322,8 @@
 
 static void note_boot(struct node *node, struct target *target, uint64_t boot)
 {
+	target->replied_at = node->now;
+	target->unverified = false;
 	if (!boot || boot == target->boot)
 		return;
 	if (target->boot) {
@@ -331,16 +345,64 @@
 {
 	int limit = target->slots - target->foreign;
 
+	if (target->unverified)
+		return FLOOR;
 	if (limit > target->limit)
 		limit = target->limit;
 	return limit < FLOOR ? FLOOR : limit;
 }
 
+/*
+ * Whether the answers since the last step allow one more slot. A cold target
+ * answers, but slowly: its answers have to be about as fast as they were when
+ * it was warm. Where that is not known, because the gate is new, or no longer
+ * true, time decides.
+ */
+static bool may_step(const struct node *node, const struct target *target)
+{
+	int64_t since = node->now - target->step_at;
+	int64_t mean = target->ramp_us / target->streak;
+
+	if (!target->baseline_us)
+		return since >= HOLD_NEW_US;
+	if (mean > target->baseline_us * WARM_FACTOR)
+		return since >= HOLD_STALE_US;
+	return since >= target->hold_us;
+}
+
+static void climb(struct node *node, struct target *target, int64_t service)
+{
+	target->streak++;
+	target->ramp_us += service;
+	if (target->streak < RAMP_STREAK)
+		return;
+	if (may_step(node, target)) {
+		target->limit++;
+		target->step_at = node->now;
+		if (target->limit == target->slots)
+			target->baseline_us = target->ramp_us / target->streak;
+	}
+	target->streak = 0;
+	target->ramp_us = 0;
+}
+
+/* Quickly down and slowly up: a cold start that went unseen, or a busy hour,
+ * must not pass for what the target does when it is warm. */
+static void note_baseline(struct target *target, int64_t service)
+{
+	int64_t off = service - target->baseline_us;
+
+	target->baseline_us += off >> (off < 0 ? DOWN_SHIFT : UP_SHIFT);
+}
+
 static void note_timely(struct node *node, struct target *target,
 			int64_t service)
 {
 	target->sheds = 0;
 	target->broken = 0;
+	if (!target->service_us)
+		target->service_us = service;
+	target->service_us += (service - target->service_us) >> SERVICE_SHIFT;
 	if (target->baseline_us && service > SLOW_MIN_US &&
 	    service > target->baseline_us * SLOW_FACTOR) {
 		if (++target->slow >= SLOW_STREAK)
@@ -348,17 +410,12 @@
 		return;
 	}
 	target->slow = 0;
-	if (!target->baseline_us)
+	if (target->limit < target->slots)
+		climb(node, target, service);
+	else if (!target->baseline_us)
 		target->baseline_us = service;
-	target->baseline_us +=
-		(service - target->baseline_us) >> BASELINE_SHIFT;
-	target->streak++;
-	if (target->limit >= target->slots || target->streak < RAMP_STREAK ||
-	    node->now - target->step_at < target->hold_us)
-		return;
-	target->limit++;
-	target->streak = 0;
-	target->step_at = node->now;
+	else
+		note_baseline(target, service);
 }
 
 /* Dispatch. */
@@ -387,6 +444,14 @@
 {
 	struct target *target = job->target;
 
+	/*
+	 * A target can restart while nothing is sent to it, and nothing tells.
+	 * The symptom would be all of its slots filled at once while it is
+	 * cold. One request goes first; its reply names the boot id.
+	 */
+	if (!target->busy && !node->opt.off.no_ramp &&
+	    node->now - target->replied_at > IDLE_US)
+		target->unverified = true;
 	target->busy++;
 	if (!job->is_entry) {
 		job->state = JOB_RUNNING;
@@ -488,7 +553,7 @@
 static bool would_expire(const struct target *target, const struct msg *msg)
 {
 	int64_t service =
-		target->baseline_us ? target->baseline_us : FIRST_SERVICE_US;
+		target->service_us ? target->service_us : FIRST_SERVICE_US;
 	int64_t ahead = (int64_t)target->queued + target->busy;
 	int64_t wait = ahead * service / effective_limit(target);
 
@@ -544,16 +609,29 @@
 static void bury(struct node *node, struct job *job)
 {
 	job->state = JOB_DONE;
+	job->deadline = node->now + TOMBSTONE_US;
 	node->gate->open--;
 	timer_add(&node->timers, node->now + TOMBSTONE_US, TIMER_JOB,
 		  job->number);
 }
 
+/* With the grant's end turned off (tests): take the slot again. */
+static void revive(struct job *job)
+{
+	if (job->state == JOB_DONE && !job->started_at) {
+		job->state = JOB_GRANTED;
+		job->target->busy++;
+	}
+	job->deadline = INT64_MAX;
+}
+
 void gate_go(struct node *node, struct str from, uint64_t incarnation,
 	     const struct msg *msg)
 {
 	struct job *job = job_find(node, str_hash(from), incarnation, msg);
 
+	if (job && node->opt.off.no_grant)
+		revive(job);
 	if (job && job->state != JOB_GRANTED)
 		return;
 	/*
@@ -561,11 +639,7 @@
 	 * that it is read, the issuer may have told its caller that the entry
 	 * did not run. The grant's own deadline stops it here.
 	 */
-	bool ended = !job || node->now >= job->deadline;
-
-	if (job && node->opt.off.no_grant)
-		ended = false;
-	if (ended) {
+	if (!job || node->now >= job->deadline) {
 		struct msg no = { .kind = MSG_GO_REPLY,
 				  .id = msg->id,
 				  .attempt = msg->attempt,
@@ -578,7 +652,7 @@
 	struct target *target = job->target;
 	int reason = closed(node, target);
 
-	if (!reason && !member_view_ok(node))
+	if (!reason && !member_view_ok(node) && !node->opt.off.no_grant)
 		reason = ERR_ISOLATED;
 	if (reason) {
 		reply(node, job, reason, false, (struct str){ 0 });
@@ -741,8 +815,16 @@
 		target->step_at = node->now;
 		return;
 	}
-	if (!job->cancelled && !status)
+	/*
+	 * Those that a front gave up on were the slow ones: without them the
+	 * rest of a cold target's answers would look as fast as warm ones.
+	 */
+	if (job->cancelled) {
+		target->streak = 0;
+		target->ramp_us = 0;
+	} else if (!status) {
 		note_timely(node, target, node->now - job->started_at);
+	}
 }
 
 static void probed(struct node *node, struct target *target,
@@ -854,11 +936,14 @@
 	target->draining = false;
 	target->foreign = 0;
 	target->boot = 0;
+	target->unverified = false;
 	target->broken = 0;
 	target->hold_us = HOLD_MIN_US;
 	target->probe_us = PROBE_MIN_US;
 	target->cold = 0;
+	target->baseline_us = 0;
 	target->streak = 0;
+	target->ramp_us = 0;
 	/*
 	 * Another gate may still send to the target for as long as the views
 	 * differ, and nothing is known of its state. One request at a time
--- a/gate.h
+++ b/gate.h
@@ -56,10 +56,14 @@
  * @busy: slots taken, by running and granted jobs
  * @foreign: requests of others that the target reported
  * @boot: boot id of its last reply
+ * @replied_at: time of its last reply
+ * @unverified: idle for so long that it may have restarted unseen
  * @streak: timely answers since the last step of the ramp
  * @step_at: time of the last step or fall
  * @hold_us: shortest time between steps; grows with each relapse
- * @baseline_us: smoothed service time when warm
+ * @ramp_us: sum of their service times
+ * @service_us: smoothed service time
+ * @baseline_us: the same while warm, 0 when not known
  * @slow: answers in a row far over the baseline
  * @sheds: shedding replies in a row
  * @jobs: jobs that point here, tombstones too
@@ -79,9 +83,13 @@
 	int busy;
 	int foreign;
 	uint64_t boot;
+	int64_t replied_at;
+	bool unverified;
 	int streak;
 	int64_t step_at;
 	int64_t hold_us;
+	int64_t ramp_us;
+	int64_t service_us;
 	int64_t baseline_us;
 	int slow;
 	int sheds;
--- a/member.c
+++ b/member.c
@@ -304,18 +304,34 @@
 	timer_add(&node->timers, node->now + HEARTBEAT_US, TIMER_HEARTBEAT, 0);
 }
 
-static void confirm_view(struct node *node, const char *why)
+static void end_recovery(struct node *node, const char *why)
 {
-	struct member *member = node->member;
-
-	if (member->view_ok)
-		return;
-	member->view_ok = true;
+	node->member->view_ok = true;
 	note_isolation(node);
 	node_audit(node, "view", STR("old"), STR("confirmed"), why, 0);
 	gate_resume(node);
 }
 
+/*
+ * The answer alone is not enough: it can name a document that has not come
+ * yet, and the one in hand may still have a failure domain in that is out.
+ */
+static void confirm_view(struct node *node, const char *why)
+{
+	if (node->member->view_ok)
+		return;
+	node->member->confirmed = true;
+	if (!conf_behind(node))
+		end_recovery(node, why);
+}
+
+void member_caught_up(struct node *node)
+{
+	if (!node->member->view_ok && node->member->confirmed &&
+	    !conf_behind(node))
+		end_recovery(node, "documents are up to date");
+}
+
 static void note_fresh(struct node *node, int64_t at)
 {
 	if (at > node->member->fresh_at)
@@ -343,12 +359,6 @@
 	vm_set_domain(vm, msg->name);
 	if (msg->fresh_us >= 0 && msg->fresh_us < INT64_MAX / 4)
 		note_fresh(node, node->now - msg->fresh_us);
-	/*
-	 * After a pause the socket still holds heartbeats from before it; only
-	 * the answer to a probe sent since then shows that the view is new.
-	 */
-	if (msg->id && msg->id == node->member->nonce)
-		confirm_view(node, "a peer answered");
 	if (was_usable != member_usable(node, vm)) {
 		node_audit(node, "vm", vm->addr,
 			   was_usable ? STR("unusable") : STR("usable"),
@@ -357,6 +367,12 @@
 	}
 	conf_offered(node, vm, DOC_LISTS, msg->version, msg->hash);
 	conf_offered(node, vm, DOC_FLEET, msg->version2, msg->hash2);
+	/*
+	 * After a pause the socket still holds heartbeats from before it; only
+	 * the answer to a probe sent since then shows that the view is new.
+	 */
+	if (msg->id && msg->id == node->member->nonce)
+		confirm_view(node, "a peer answered");
 }
 
 void member_probed(struct node *node, struct str from, uint64_t incarnation,
@@ -444,8 +460,9 @@
 		   "gap between events", (uint64_t)gap);
 	member->view_ok = false;
 	member->nonce = rng_next(&node->rng) | 1;
-	member->confirm_by = node->now + CONFIRM_US;
-	timer_add(&node->timers, member->confirm_by, TIMER_VIEW, member->nonce);
+	member->confirmed = false;
+	timer_add(&node->timers, node->now + CONFIRM_US, TIMER_VIEW,
+		  member->nonce);
 	for (size_t i = 1; i < member->count; i++)
 		member_probe(node, member->vms[i]->addr);
 	/* Peers were silent only to a sleeper: give them time to be heard. */
@@ -461,8 +478,8 @@
 	 * Nobody answered: either this node is alone or it is cut off. From
 	 * here on the rule for isolation decides, as for any other node.
 	 */
-	if (nonce == node->member->nonce)
-		confirm_view(node, "nobody answered in time");
+	if (nonce == node->member->nonce && !node->member->view_ok)
+		end_recovery(node, "nobody answered in time");
 }
 
 void member_platform_read(struct node *node)
--- a/member.h
+++ b/member.h
@@ -54,8 +54,8 @@
 	uint64_t epoch; /* raised whenever the usable set changes */
 	int64_t fresh_at; /* newest platform reading known to anyone heard */
 	bool view_ok; /* false after a pause until confirmed */
+	bool confirmed; /* somebody answered since; documents may lack */
 	uint64_t nonce; /* probe that confirms the view */
-	int64_t confirm_by;
 	bool isolated; /* judged at each heartbeat */
 };
 
@@ -77,6 +77,8 @@
 void member_platform_read(struct node *node);
 /** member_view_timeout() - nobody confirmed the view in time. */
 void member_view_timeout(struct node *node, uint64_t nonce);
+/** member_caught_up() - documents changed: the view may be whole again. */
+void member_caught_up(struct node *node);
 bool member_view_ok(const struct node *node);
 /** member_isolated() - cut off: a change may have passed this node by. */
 bool member_isolated(const struct node *node);
--- a/tests/mesh.h
+++ b/tests/mesh.h
@@ -36,6 +36,7 @@
 struct mesh_target {
 	const struct fleet_target *listed;
 	uint64_t boot;
+	int64_t up_at;
 	int64_t cold_until;
 	int64_t service_us; /* 0: the mesh's */
 	bool draining;
@@ -60,6 +61,7 @@
 	int status;
 	int count;
 	int node;
+	bool node_up; /* when it was asked */
 	struct buf body;
 };
 
@@ -115,6 +117,8 @@
 		 const char *body);
 struct mesh_target *mesh_target(struct mesh *mesh, const char *name);
 uint64_t mesh_runs(struct mesh *mesh, const char *entry);
+/** mesh_ran_at() - time of the last run, 0 when there was none. */
+int64_t mesh_ran_at(struct mesh *mesh, const char *entry);
 /** mesh_feed() - hand an event to node @i and take its effects. */
 void mesh_feed(struct mesh *mesh, int i, struct event event);
 void mesh_cold(struct mesh *mesh, struct mesh_target *target);
