--- a/bench/load.c
+++ b/bench/load.c
@@ -309,5 +309,11 @@
 	loop_hook(load.loop, (struct loop_hook){ run, wait_us, &load });
 	loop_run(load.loop);
 	print(&load);
+	fetcher_destroy(load.fetcher);
+	loop_destroy(load.loop);
+	buf_free(&load.indexes);
+	free(load.due);
+	free(load.latency);
+	free(load.coverage);
 	return 0;
 }
--- a/conf.c
+++ b/conf.c
@@ -43,17 +43,17 @@
 
 static bool is_watcher(const struct node *node, enum doc_kind kind)
 {
-	return !node->conf->joined || member_rank(node, kind + 1) < WATCHERS;
+	return member_rank(node, kind + 1) < WATCHERS;
 }
 
-static void read_doc(struct node *node, enum doc_kind kind, int64_t wait,
-		     int64_t delay)
+static void read_doc(struct node *node, enum doc_kind kind, int64_t wait)
 {
 	struct conf_doc *doc = &node->conf->docs[kind];
 
 	if (doc->reading)
 		return;
 	doc->reading = true;
+	doc->read_at = node->now;
 
 	struct effect *fx = effects_add(node->fx, FX_READ_DOC);
 
@@ -61,7 +61,7 @@
 	fx->version = doc->version;
 	fx->hash = doc->hash;
 	fx->wait_us = wait;
-	fx->delay_us = delay;
+
 	node->counters[CNT_PLATFORM_READS]++;
 }
 
@@ -88,9 +88,11 @@
 		timer_add(&node->timers,
 			  node->now + jitter(node, (int64_t)RETRY_US << shift),
 			  TIMER_CONF, kind);
+	else if (!node->conf->joined)
+		timer_add(&node->timers, node->now + RETRY_US, TIMER_CONF,
+			  kind);
 	else if (is_watcher(node, kind))
-		read_doc(node, kind, node->conf->joined ? WATCH_US : 0,
-			 node->conf->joined ? 0 : RETRY_US);
+		read_doc(node, kind, WATCH_US);
 	else
 		timer_add(&node->timers,
 			  node->now + jitter(node, poll_period(node)),
@@ -99,8 +101,8 @@
 
 void conf_read_now(struct node *node)
 {
-	read_doc(node, DOC_LISTS, 0, 0);
-	read_doc(node, DOC_FLEET, 0, 0);
+	read_doc(node, DOC_LISTS, 0);
+	read_doc(node, DOC_FLEET, 0);
 }
 
 void conf_init(struct node *node)
@@ -315,6 +317,22 @@
 	take(node, (enum doc_kind)msg->doc, msg->body, "from a peer");
 }
 
+/*
+ * The reply to a read that began before a pause lay in the socket since, and
+ * may be older than a change that was published meanwhile. Taken for fresh, it
+ * would confirm the old view. It counts for nothing and is read again.
+ */
+static void answered(struct node *node, enum doc_kind kind, bool current)
+{
+	if (node->conf->docs[kind].read_at < node->member->paused_at) {
+		read_doc(node, kind, 0);
+		return;
+	}
+	if (current && kind == DOC_FLEET)
+		member_platform_read(node);
+	read_again(node, kind);
+}
+
 void conf_platform_doc(struct node *node, enum doc_kind kind, struct str body)
 {
 	struct conf_doc *doc = &node->conf->docs[kind];
@@ -327,20 +345,15 @@
 	else
 		set_candidate(node, kind, body);
 	/* A platform that serves an old document is no proof of freshness. */
-	if (kind == DOC_FLEET && stale == node->counters[CNT_DOCS_STALE])
-		member_platform_read(node);
-	else
-		doc->failures = stale != node->counters[CNT_DOCS_STALE];
-	read_again(node, kind);
+	doc->failures = stale != node->counters[CNT_DOCS_STALE];
+	answered(node, kind, !doc->failures);
 }
 
 void conf_platform_same(struct node *node, enum doc_kind kind)
 {
 	node->conf->docs[kind].reading = false;
 	node->conf->docs[kind].failures = 0;
-	if (kind == DOC_FLEET)
-		member_platform_read(node);
-	read_again(node, kind);
+	answered(node, kind, true);
 }
 
 void conf_platform_failed(struct node *node, enum doc_kind kind)
@@ -393,6 +406,5 @@
 		join(node);
 	else
 		read_doc(node, (enum doc_kind)kind,
-			 is_watcher(node, (enum doc_kind)kind) ? WATCH_US : 0,
-			 0);
+			 is_watcher(node, (enum doc_kind)kind) ? WATCH_US : 0);
 }
--- a/conf.h
+++ b/conf.h
@@ -16,7 +16,7 @@
  * @body: bytes of the one in force, for peers; on the heap
  * @version, @hash: of the one in force, 0 when there is none
  * @refused: hash of the last refused body, so it is judged once
- * @reading: a read of the platform is under way
+ * @reading: a read of the platform is under way, begun at @read_at
  * @asked_until: a peer was asked for the body; ask another after this time
  * @behind: highest version that a peer offered
  */
@@ -27,6 +27,7 @@
 	uint64_t refused;
 	uint64_t stale;
 	bool reading;
+	int64_t read_at;
 	int failures;
 	int64_t asked_until;
 	uint64_t behind;
--- a/event.c
+++ b/event.c
@@ -62,9 +62,8 @@
 			   effect->fetch, effect->doc,
 			   (unsigned long long)effect->version,
 			   (unsigned long long)effect->job);
-		buf_printf(out, " shard=%u wait=%lld delay=%lld status=%d",
-			   effect->shard, (long long)effect->wait_us,
-			   (long long)effect->delay_us, effect->status);
+		buf_printf(out, " shard=%u wait=%lld status=%d", effect->shard,
+			   (long long)effect->wait_us, effect->status);
 		buf_printf(out, " name=%.*s text=%.*s body=%.*s",
 			   STR_ARG(effect->name), STR_ARG(effect->text),
 			   STR_ARG(effect->body));
--- a/event.h
+++ b/event.h
@@ -101,7 +101,7 @@
  * @addr: node or target, "ip:port"
  * @wait_us: FX_READ_DOC: how long the platform may hold the call;
  *           FX_FETCH: time until the shell gives up
- * @delay_us: FX_READ_DOC: pause before the call
+
  * @status: FX_ANSWER: HTTP status
  * @text: FX_FETCH: terms
  */
@@ -118,7 +118,7 @@
 	uint64_t job;
 	uint32_t shard;
 	int64_t wait_us;
-	int64_t delay_us;
+
 	int status;
 	struct str name;
 	struct str text;
--- a/fetch.c
+++ b/fetch.c
@@ -357,5 +357,6 @@
 		transfer_free(t);
 	}
 	curl_multi_cleanup(fetcher->multi);
+	loop_unhook(fetcher->loop, fetcher);
 	free(fetcher);
 }
--- a/http.c
+++ b/http.c
@@ -266,9 +266,11 @@
 	MHD_UNSIGNED_LONG_LONG ms = 1;
 
 	MHD_get_timeout(server->daemon, &ms);
-	if (server->ready || !ms)
-		MHD_run(server->daemon);
+	if (!server->ready && ms)
+		return;
+	/* Before the call: what is resumed within it needs one more run. */
 	server->ready = false;
+	MHD_run(server->daemon);
 }
 
 static void on_ready(void *ctx, int events)
@@ -362,6 +364,7 @@
 
 void http_destroy(struct http_server *server)
 {
+	loop_unhook(server->loop, server);
 	loop_del(server->watch);
 	MHD_stop_daemon(server->daemon);
 	if (server->quiesced_fd >= 0)
--- a/loop.c
+++ b/loop.c
@@ -134,6 +134,16 @@
 	loop->hooks[loop->nhooks++] = hook;
 }
 
+void loop_unhook(struct loop *loop, const void *ctx)
+{
+	int kept = 0;
+
+	for (int i = 0; i < loop->nhooks; i++)
+		if (loop->hooks[i].ctx != ctx)
+			loop->hooks[kept++] = loop->hooks[i];
+	loop->nhooks = kept;
+}
+
 static int64_t wait_time(const struct loop *loop)
 {
 	int64_t least = MAX_WAIT_US;
--- a/loop.h
+++ b/loop.h
@@ -35,6 +35,8 @@
 /** loop_del() - stop watching; safe within a callback of the same round. */
 void loop_del(struct watch *watch);
 void loop_hook(struct loop *loop, struct loop_hook hook);
+/** loop_unhook() - drop the hooks with this @ctx. */
+void loop_unhook(struct loop *loop, const void *ctx);
 void loop_run(struct loop *loop);
 /** loop_step() - one round. */
 void loop_step(struct loop *loop);
--- a/member.c
+++ b/member.c
@@ -145,6 +145,7 @@
 	node->member = member;
 	member->view_ok = true;
 	member->fresh_at = INT64_MIN;
+	member->paused_at = INT64_MIN;
 
 	struct vm *self = vm_add(node, node->opt.addr);
 
@@ -357,7 +358,11 @@
 					     : VM_LEAVING;
 	vm->departed = vm->state == VM_LEAVING;
 	vm_set_domain(vm, msg->name);
-	if (msg->fresh_us >= 0 && msg->fresh_us < INT64_MAX / 4)
+	/* After a pause only an answer to the probe tells of the present. */
+	bool present = node->member->view_ok ||
+		       (msg->id && msg->id == node->member->nonce);
+
+	if (present && msg->fresh_us >= 0 && msg->fresh_us < INT64_MAX / 4)
 		note_fresh(node, node->now - msg->fresh_us);
 	if (was_usable != member_usable(node, vm)) {
 		node_audit(node, "vm", vm->addr,
@@ -461,6 +466,7 @@
 	member->view_ok = false;
 	member->nonce = rng_next(&node->rng) | 1;
 	member->confirmed = false;
+	member->paused_at = node->now;
 	timer_add(&node->timers, node->now + CONFIRM_US, TIMER_VIEW,
 		  member->nonce);
 	for (size_t i = 1; i < member->count; i++)
--- a/member.h
+++ b/member.h
@@ -54,6 +54,7 @@
 	uint64_t epoch; /* raised whenever the usable set changes */
 	int64_t fresh_at; /* newest platform reading known to anyone heard */
 	bool view_ok; /* false after a pause until confirmed */
+	int64_t paused_at; /* when the last pause was noticed */
 	bool confirmed; /* somebody answered since; documents may lack */
 	uint64_t nonce; /* probe that confirms the view */
 	bool isolated; /* judged at each heartbeat */
--- a/once.c
+++ b/once.c
@@ -256,7 +256,8 @@
 {
 	struct once *once = node->once;
 
-	while (once->count > RECORDS_MAX && is_final(once->oldest)) {
+	while (once->count > RECORDS_MAX && once->oldest &&
+	       is_final(once->oldest)) {
 		struct record *record = once->oldest;
 
 		once->oldest = record->newer;
--- a/peer.c
+++ b/peer.c
@@ -233,6 +233,14 @@
 	}
 }
 
+static void inlet_free(struct inlet *inlet)
+{
+	loop_del(inlet->watch);
+	close(inlet->fd);
+	buf_free(&inlet->in);
+	free(inlet);
+}
+
 static void inlet_close(struct inlet *inlet)
 {
 	if (inlet->prev)
@@ -241,10 +249,7 @@
 		inlet->peers->inlets = inlet->next;
 	if (inlet->next)
 		inlet->next->prev = inlet->prev;
-	loop_del(inlet->watch);
-	close(inlet->fd);
-	buf_free(&inlet->in);
-	free(inlet);
+	inlet_free(inlet);
 }
 
 /* Return: false when the connection was closed. */
@@ -356,8 +361,12 @@
 {
 	apr_hash_index_t *it;
 
-	while (peers->inlets)
-		inlet_close(peers->inlets);
+	struct inlet *next;
+
+	for (struct inlet *inlet = peers->inlets; inlet; inlet = next) {
+		next = inlet->next;
+		inlet_free(inlet);
+	}
 	for (it = apr_hash_first(NULL, peers->links); it;
 	     it = apr_hash_next(it)) {
 		void *value;
--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Builds into the folder $1; further arguments go to meson setup.
+set -e
+dir=$1
+shift
+[ -d "$dir" ] || meson setup "$dir" "$@" >/dev/null
+if ! out=$(ninja -C "$dir" 2>&1); then
+	echo "$out"
+	exit 1
+fi
--- /dev/null
+++ b/tests/check_input.c
@@ -0,0 +1,436 @@
+/*
+ * All that comes from outside: settings, lists, callers' bodies, frames,
+ * targets' replies. Bad input gets a typed error that names the place; no
+ * input, however damaged, does more than that.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "../ask.h"
+#include "../config.h"
+#include "../doc.h"
+#include "../latency.h"
+#include "../rng.h"
+#include "../target.h"
+#include "../timer.h"
+#include "../wire.h"
+#include "mesh.h"
+
+/** struct input - a text, and what its error must name (NULL: accepted) */
+struct input {
+	const char *text;
+	const char *names;
+};
+
+#define ADDRS \
+	"\"peer\":\"127.0.0.1:1\",\"callers\":\"127.0.0.1:2\"," \
+	"\"operators\":\"127.0.0.1:3\",\"domain\":\"a\","
+
+static const struct input settings[] = {
+	{ "{" ADDRS "\"platforms\":[\"127.0.0.1:4\"]}", NULL },
+	{ "{" ADDRS "\"platforms\":[\"127.0.0.1:4\"],\"drain_ms\":5}", NULL },
+	{ "{" ADDRS "\"platforms\":[]}", "platforms" },
+	{ "{" ADDRS "\"platforms\":[\"here:4\"]}", "platforms" },
+	{ "{" ADDRS "\"platforms\":[\"127.0.0.1:0\"]}", "platforms" },
+	{ "{" ADDRS "\"platforms\":[\"127.0.0.1:70000\"]}", "platforms" },
+	{ "{" ADDRS "\"platforms\":[\"127.0.0.1:4\"],\"x\":1}", "\"x\"" },
+	{ "{" ADDRS "\"platforms\":[\"127.0.0.1:4\"],\"max_open\":0}",
+	  "max_open" },
+	{ "{" ADDRS "\"platforms\":[\"127.0.0.1:4\"],\"max_open\":\"1\"}",
+	  "max_open" },
+	{ "{" ADDRS "\"platforms\":[\"127.0.0.1:4\"],\"log_level\":\"loud\"}",
+	  "log_level" },
+	{ "{" ADDRS "\"platforms\":[\"127.0.0.1:4\",\"127.0.0.1:4\"]}",
+	  "twice" },
+	{ "{" ADDRS "\"domain\":\"b\",\"platforms\":[]}", "line 1" },
+	{ "{\"peer\":\"127.0.0.1:1\"}", "callers" },
+	{ "[]", "object" },
+	{ "{", "line" },
+	{ "", "line" },
+};
+
+START_TEST(test_settings)
+{
+	const struct input *in = &settings[_i];
+	struct error err = { 0 };
+	struct config *config = config_parse("vm.json", str_of(in->text), &err);
+
+	ck_assert_msg(!config == !!in->names, "%s: %s", in->text, err.text);
+	if (in->names) {
+		ck_assert_int_eq(err.code, ERR_SETTINGS);
+		ck_assert_msg(strstr(err.text, in->names), "%s", err.text);
+		ck_assert(strstr(err.text, "vm.json"));
+	}
+	config_free(config);
+}
+END_TEST
+
+#define PLAN "{\"plan\":\"p\",\"indexes\":[\"i\"],\"entries\":[],"
+#define LISTS(allowance, customer) \
+	"{\"version\":1,\"allowances\":[" allowance "],\"plans\":[" customer \
+	"]}"
+#define CUSTOMER "{\"customer\":\"c\",\"plan\":\"p\"}"
+
+static const struct input lists[] = {
+	{ LISTS(PLAN "\"deadline_ms\":9}", CUSTOMER), NULL },
+	{ LISTS(PLAN "\"deadline_ms\":9}", CUSTOMER "," CUSTOMER), "twice" },
+	{ LISTS(PLAN "\"deadline_ms\":9}," PLAN "\"deadline_ms\":9}", CUSTOMER),
+	  "twice" },
+	{ LISTS("", CUSTOMER), "plans[0]" },
+	{ LISTS(PLAN "\"deadline_ms\":0}", CUSTOMER), "deadline_ms" },
+	{ LISTS(PLAN "\"soft_ms\":1}", CUSTOMER), "deadline_ms" },
+	{ LISTS(PLAN "\"deadline_ms\":9,\"soft_ms\":10}", CUSTOMER),
+	  "soft_ms" },
+	{ LISTS(PLAN "\"deadline_ms\":9,\"coverage_floor\":1.1}", CUSTOMER),
+	  "coverage_floor" },
+	{ LISTS(PLAN "\"deadline_ms\":9,\"rate\":0}", CUSTOMER), "rate" },
+	{ LISTS(PLAN "\"deadline_ms\":9,\"colour\":0}", CUSTOMER), "colour" },
+	{ LISTS(PLAN "\"deadline_ms\":9}", "{\"customer\":\"c\"}"), "plan" },
+	{ "{\"version\":0,\"allowances\":[],\"plans\":[]}", "version" },
+	{ "{\"version\":1,\"allowances\":[]}", "plans" },
+	{ "{\"version\":1,\"version\":2,\"allowances\":[],\"plans\":[]}",
+	  "line 1" },
+};
+
+START_TEST(test_lists)
+{
+	const struct input *in = &lists[_i];
+	struct error err = { 0 };
+	struct lists *parsed = lists_parse(str_of(in->text), &err);
+
+	ck_assert_msg(!parsed == !!in->names, "%s: %s", in->text, err.text);
+	if (in->names) {
+		ck_assert_int_eq(err.code, ERR_LIST);
+		ck_assert_msg(strstr(err.text, in->names), "%s", err.text);
+	}
+	lists_free(parsed);
+}
+END_TEST
+
+#define HEAD \
+	"{\"version\":1,\"domains\":[{\"name\":\"a\",\"state\":" \
+	"\"in\"}],\"vms\":[],\"targets\":["
+#define TARGET(name, port) \
+	"{\"name\":\"" name "\",\"address\":\"127.0.0.1:" port "\"," \
+	"\"domain\":\"a\",\"state\":\"live\",\"slots\":2," \
+	"\"connections\":25}"
+#define SHARD(id, from, to, target) \
+	"{\"id\":" id ",\"index\":\"i\",\"from\":" from ",\"to\":" to \
+	",\"replicas\":[\"" target "\"]}"
+#define FLEET(targets, shards) \
+	HEAD targets "],\"snapshots\":[{\"version\":1,\"shards\":[" shards \
+		     "]}]}"
+
+static const struct input fleets[] = {
+	{ FLEET(TARGET("t", "1"), SHARD("1", "0", "9", "t")), NULL },
+	{ FLEET(TARGET("t", "1"), SHARD("1", "0", "9", "u")), "replica" },
+	{ FLEET(TARGET("t", "1"), SHARD("1", "9", "9", "t")), "above" },
+	{ FLEET(TARGET("t", "1"),
+		SHARD("1", "0", "9", "t") "," SHARD("1", "9", "18", "t")),
+	  "twice" },
+	{ FLEET(TARGET("t", "1"),
+		SHARD("1", "0", "9", "t") "," SHARD("2", "8", "18", "t")),
+	  "overlap" },
+	{ FLEET(TARGET("t", "1") "," TARGET("t", "2"), ""), "twice" },
+	{ FLEET(TARGET("t", "1") "," TARGET("u", "1"), ""), "twice" },
+	{ FLEET(TARGET("t", "x"), ""), "ip:port" },
+	{ HEAD "],\"snapshots\":[{\"version\":1,\"shards\":[]},"
+	       "{\"version\":2,\"shards\":[]}]}",
+	  "go down" },
+	{ HEAD "]}", "snapshots" },
+};
+
+START_TEST(test_fleet)
+{
+	const struct input *in = &fleets[_i];
+	struct error err = { 0 };
+	struct fleet *fleet = fleet_parse(str_of(in->text), &err);
+
+	ck_assert_msg(!fleet == !!in->names, "%s: %s", in->text, err.text);
+	if (in->names)
+		ck_assert_msg(strstr(err.text, in->names), "%s", err.text);
+	fleet_unref(fleet);
+}
+END_TEST
+
+#define WHO "\"customer\":\"c\",\"request_id\":\"r\""
+
+static const struct input asks[] = {
+	{ "{" WHO ",\"indexes\":[\"i\"]}", NULL },
+	{ "{" WHO ",\"indexes\":[\"i\"],\"shards\":[3,1],\"terms\":\"t\"}",
+	  NULL },
+	{ "{" WHO ",\"indexes\":[]}", "indexes" },
+	{ "{" WHO ",\"indexes\":[\"i\",\"i\"]}", "twice" },
+	{ "{" WHO ",\"indexes\":[\"i\"],\"shards\":[1,1]}", "twice" },
+	{ "{" WHO ",\"indexes\":[\"i\"],\"shards\":[0]}", "shards" },
+	{ "{" WHO ",\"indexes\":[\"i\"],\"deadline_ms\":-1}", "deadline_ms" },
+	{ "{" WHO ",\"indexes\":[\"i\"],\"terms\":7}", "terms" },
+	{ "{" WHO ",\"indexes\":[\"i\"],\"page\":7}", "page" },
+	{ "{\"request_id\":\"r\",\"indexes\":[\"i\"]}", "customer" },
+	{ "[]", "object" },
+	{ "", "line" },
+};
+
+START_TEST(test_ask)
+{
+	const struct input *in = &asks[_i];
+	struct error err = { 0 };
+	apr_pool_t *pool;
+	struct ask ask;
+	int code;
+
+	apr_pool_create(&pool, NULL);
+	code = ask_parse(str_of(in->text), pool, &ask, &err);
+	ck_assert_int_eq(code, in->names ? ERR_BAD_REQUEST : 0);
+	if (in->names)
+		ck_assert_msg(strstr(err.text, in->names), "%s", err.text);
+	apr_pool_destroy(pool);
+}
+END_TEST
+
+static const struct input entries[] = {
+	{ "{" WHO ",\"index\":\"i\",\"key\":1,\"entry\":{}}", NULL },
+	{ "{" WHO ",\"index\":\"i\",\"key\":1,\"entry\":[]}", "entry" },
+	{ "{" WHO ",\"index\":\"i\",\"entry\":{}}", "key" },
+	{ "{" WHO ",\"key\":1,\"entry\":{}}", "index" },
+	{ "{" WHO ",\"index\":\"i\",\"key\":1,\"entry\":{},\"ticket\":\"\"}",
+	  "ticket" },
+};
+
+START_TEST(test_entry)
+{
+	const struct input *in = &entries[_i];
+	struct error err = { 0 };
+	struct entry entry;
+	apr_pool_t *pool;
+	int code;
+
+	apr_pool_create(&pool, NULL);
+	code = entry_parse(str_of(in->text), false, pool, &entry, &err);
+	ck_assert_int_eq(code, in->names ? ERR_BAD_REQUEST : 0);
+	if (in->names)
+		ck_assert_msg(strstr(err.text, in->names), "%s", err.text);
+	apr_pool_destroy(pool);
+}
+END_TEST
+
+/** struct reply_case - a target's body and status, and what it is taken for */
+struct reply_case {
+	const char *body;
+	int status;
+	enum fetch_result result;
+};
+
+static const struct reply_case replies[] = {
+	{ "{\"boot\":\"b\",\"rows\":[]}", 200, FETCH_OK },
+	{ "{\"boot\":\"b\",\"rows\":[{\"a\":1}", 200, FETCH_MALFORMED },
+	{ "{\"boot\":\"b\"}", 200, FETCH_MALFORMED },
+	{ "{\"boot\":\"b\",\"rows\":{}}", 200, FETCH_MALFORMED },
+	{ "", 200, FETCH_MALFORMED },
+	{ "[]", 200, FETCH_MALFORMED },
+	{ "{\"error\":\"shed\"}", 503, FETCH_OK },
+	{ "<html>", 503, FETCH_MALFORMED },
+};
+
+START_TEST(test_target_reply)
+{
+	const struct reply_case *in = &replies[_i];
+	struct fetched got = { .result = FETCH_OK };
+	struct buf rows = { 0 };
+
+	target_reply(str_of(in->body), in->status, &got, &rows);
+	ck_assert_int_eq(got.result, in->result);
+	ck_assert_int_eq(got.status, in->status);
+	buf_free(&rows);
+}
+END_TEST
+
+static void random_msg(struct rng *rng, struct msg *msg, char *text)
+{
+	size_t len = rng_below(rng, 40);
+
+	for (size_t i = 0; i < len; i++)
+		text[i] = (char)rng_next(rng);
+	*msg = (struct msg){
+		.kind = 1 + (uint32_t)rng_below(rng, MSG_KINDS - 1),
+		.id = rng_next(rng),
+		.attempt = (uint32_t)rng_next(rng),
+		.remaining_us = (int64_t)rng_next(rng),
+		.status = -(int32_t)rng_below(rng, 40),
+		.ran = rng_next(rng) & 1,
+		.amount = (double)rng_below(rng, 1000) / 7,
+		.body = { text, len },
+	};
+}
+
+/* Property: a frame comes back as it was, and a cut one asks for more. */
+START_TEST(test_frame_round_trip)
+{
+	struct rng rng = { .seed = (uint64_t)_i + 1 };
+	struct msg msgs[3];
+	char texts[3][40];
+	struct buf out = { 0 };
+	struct frame back;
+	struct error err;
+
+	for (int i = 0; i < 3; i++)
+		random_msg(&rng, &msgs[i], texts[i]);
+	frame_encode(&(struct frame){ .from = STR("127.0.0.1:9"),
+				      .from_incarnation = 5,
+				      .to_incarnation = 6,
+				      .msgs = msgs,
+				      .count = 3 },
+		     &out);
+	for (size_t cut = 0; cut < out.len; cut++)
+		ck_assert_int_eq(
+			frame_decode((struct str){ out.ptr, cut }, &back, &err),
+			0);
+	ck_assert_int_eq(frame_decode(buf_str(&out), &back, &err),
+			 (int)out.len);
+	ck_assert_uint_eq(back.count, 3);
+	for (int i = 0; i < 3; i++) {
+		ck_assert_uint_eq(back.msgs[i].id, msgs[i].id);
+		ck_assert_int_eq(back.msgs[i].status, msgs[i].status);
+		ck_assert(back.msgs[i].remaining_us == msgs[i].remaining_us);
+		ck_assert(str_eq(back.msgs[i].body, msgs[i].body));
+	}
+	frame_free(&back);
+	buf_free(&out);
+}
+END_TEST
+
+/* Property: damaged bytes are a typed error, a wait for more, or a frame; and
+ * what decodes is safe to hand to a running node. */
+START_TEST(test_frame_damaged)
+{
+	struct rng rng = { .seed = (uint64_t)_i + 100 };
+	struct mesh_layout layout = { .version = 1,
+				      .nodes = 2,
+				      .domains = 2,
+				      .targets = 4,
+				      .replicas = 2,
+				      .slots = 2,
+				      .out = -1,
+				      .leaving = -1 };
+	char *lists = mesh_lists(1, 100, 100, 100, 100, 1);
+	char *fleet = mesh_fleet(&layout);
+	struct mesh *mesh = mesh_create(2, 1, lists, fleet);
+
+	mesh_start_all(mesh);
+	for (int n = 0; n < 300; n++) {
+		struct msg msg;
+		char text[40];
+		struct buf out = { 0 };
+		struct frame back;
+		struct error err;
+
+		random_msg(&rng, &msg, text);
+		msg.target = mesh->fleet->targets[0].key;
+		frame_encode(&(struct frame){ .from = STR("127.0.0.1:9"),
+					      .from_incarnation = 5,
+					      .msgs = &msg,
+					      .count = 1 },
+			     &out);
+		for (uint64_t flips = rng_below(&rng, 6); flips; flips--)
+			out.ptr[rng_below(&rng, out.len)] ^=
+				(char)(1 << rng_below(&rng, 8));
+		if (frame_decode(buf_str(&out), &back, &err) > 0) {
+			for (size_t i = 0; i < back.count; i++)
+				mesh_feed(
+					mesh, 0,
+					(struct event){ .type = EV_MSG,
+							.from = back.from,
+							.incarnation = 5,
+							.msg = &back.msgs[i] });
+			frame_free(&back);
+		}
+		buf_free(&out);
+	}
+	mesh_run(mesh, 1000000);
+	mesh_destroy(mesh);
+	free(lists);
+	free(fleet);
+}
+END_TEST
+
+/* Property: timers come out in order of time, then of adding. */
+START_TEST(test_timers)
+{
+	struct rng rng = { .seed = (uint64_t)_i + 1 };
+	struct timers timers = { 0 };
+	struct timer timer;
+	int64_t last = 0;
+	int count = 0;
+
+	for (int i = 0; i < 500; i++)
+		timer_add(&timers, (int64_t)rng_below(&rng, 100), TIMER_JOB,
+			  (uint64_t)i);
+	while (timer_pop(&timers, 1000, &timer)) {
+		ck_assert(timer.when >= last);
+		last = timer.when;
+		count++;
+	}
+	ck_assert_int_eq(count, 500);
+	timers_free(&timers);
+}
+END_TEST
+
+/* Property: a quantile is never below the true one by more than a bucket. */
+START_TEST(test_latency)
+{
+	struct rng rng = { .seed = (uint64_t)_i + 1 };
+	struct latency latency = { 0 };
+
+	for (int i = 0; i < 4000; i++)
+		latency_add(&latency, 1000 + (int64_t)rng_below(&rng, 9000));
+
+	int64_t p95 = latency_quantile(&latency, 0.95);
+
+	ck_assert(p95 >= 9000 && p95 <= 10000 * 5 / 4);
+}
+END_TEST
+
+START_TEST(test_rng)
+{
+	struct rng a = { .seed = 3 };
+	struct rng b = { .seed = 3 };
+	struct rng c = { .seed = 4 };
+
+	ck_assert(rng_next(&a) == rng_next(&b));
+	ck_assert(rng_next(&a) != rng_next(&c));
+}
+END_TEST
+
+#define LOOP(test, table) \
+	tcase_add_loop_test(tcase, test, 0, sizeof(table) / sizeof(*(table)))
+
+int main(void)
+{
+	Suite *suite = suite_create("input");
+	TCase *tcase = tcase_create("input");
+	SRunner *runner;
+	int failed;
+
+	apr_initialize();
+	tcase_set_timeout(tcase, 120);
+	LOOP(test_settings, settings);
+	LOOP(test_lists, lists);
+	LOOP(test_fleet, fleets);
+	LOOP(test_ask, asks);
+	LOOP(test_entry, entries);
+	LOOP(test_target_reply, replies);
+	tcase_add_loop_test(tcase, test_frame_round_trip, 0, 20);
+	tcase_add_loop_test(tcase, test_frame_damaged, 0, 10);
+	tcase_add_loop_test(tcase, test_timers, 0, 10);
+	tcase_add_loop_test(tcase, test_latency, 0, 5);
+	tcase_add_test(tcase, test_rng);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
--- a/tests/fake_targets.c
+++ b/tests/fake_targets.c
@@ -24,6 +24,7 @@
 enum {
 	QUEUE_MAX = 64,
 	COLD_SLOWDOWN = 3,
+	RESTART_US = 50000,
 	BODY_MAX = 1024 * 1024
 };
 
@@ -65,6 +66,7 @@
 	struct http_server *server;
 	struct knobs knobs;
 	uint64_t boot;
+	int64_t up_at; /* takes no requests before */
 	int64_t cold_until;
 	struct work *works;
 	int busy;
@@ -133,7 +135,8 @@
 static void go_cold(struct leaf *leaf)
 {
 	leaf->boot = rng_next(&leaf->farm->rng);
-	leaf->cold_until = loop_now() + leaf->knobs.cold_us;
+	leaf->up_at = loop_now() + RESTART_US;
+	leaf->cold_until = leaf->up_at + leaf->knobs.cold_us;
 }
 
 static void head_json(const struct leaf *leaf, struct buf *out)
@@ -213,11 +216,13 @@
 {
 	struct work *oldest;
 
-	while (leaf->busy < leaf->listed->slots && leaf->waiting) {
+	while (leaf->busy < leaf->listed->slots) {
 		oldest = NULL;
 		for (struct work *w = leaf->works; w; w = w->next)
 			if (!w->running)
 				oldest = w;
+		if (!oldest)
+			return;
 		start(leaf, oldest);
 	}
 }
@@ -353,7 +358,7 @@
 {
 	struct leaf *leaf = ctx;
 
-	if (leaf->knobs.dead)
+	if (leaf->knobs.dead || loop_now() < leaf->up_at)
 		http_abort(req);
 	else if (str_eq(req->path, STR("/leaf")))
 		accept_work(leaf, req, false);
@@ -441,8 +446,11 @@
 
 		buf_printf(out, "%s{\"target\":", i ? "," : "");
 		buf_json_add(out, leaf->listed->name);
-		buf_printf(out, ",\"domain\":\"%.*s\"",
-			   STR_ARG(leaf->listed->domain->name));
+		buf_printf(out,
+			   ",\"domain\":\"%.*s\",\"busy\":%d"
+			   ",\"waiting\":%d",
+			   STR_ARG(leaf->listed->domain->name), leaf->busy,
+			   leaf->waiting);
 		buf_printf(out,
 			   ",\"started\":%llu,\"entries\":%llu,\"peak\":%d"
 			   ",\"peak_cold\":%d,\"overruns\":%llu",
--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -641,7 +641,7 @@
 			continue;
 		failed++;
 		if (turned_off)
-			continue;
+			break;
 		printf("seed %llu: %s; shortest failing prefix: %d steps\n",
 		       (unsigned long long)seed, fault, shortest(seed, steps));
 	}
--- a/tests/mesh.c
+++ b/tests/mesh.c
@@ -387,6 +387,8 @@
 	for (size_t t = 0; t < mesh->ntargets; t++)
 		if (str_eq(mesh->targets[t].listed->addr, fx->addr))
 			target = &mesh->targets[t];
+	if (!target)
+		abort();
 	work->number = ++mesh->order;
 	work->fetch = fx->id;
 	work->job = fx->job;
@@ -451,8 +453,7 @@
 {
 	struct mesh_node *node = &mesh->nodes[i];
 
-	push(mesh, (struct delivery){ .at = mesh->now + fx->delay_us +
-					    mesh->latency_us +
+	push(mesh, (struct delivery){ .at = mesh->now + mesh->latency_us +
 					    (fx->wait_us ? fx->wait_us : 0),
 				      .kind = DELIVER_DOC,
 				      .node = i,
@@ -564,11 +565,21 @@
 	frame_free(&frame);
 }
 
+static struct str served_doc(const struct mesh *mesh,
+			     const struct delivery *delivery)
+{
+	const struct mesh_node *node = &mesh->nodes[delivery->node];
+	const struct buf *docs =
+		node->stale_reader ? mesh->old_docs : mesh->docs;
+
+	return buf_str(&docs[delivery->doc]);
+}
+
 static void deliver_doc(struct mesh *mesh, const struct delivery *delivery)
 {
 	struct mesh_node *node = &mesh->nodes[delivery->node];
-	struct buf *docs = node->stale_reader ? mesh->old_docs : mesh->docs;
-	struct str body = buf_str(&docs[delivery->doc]);
+	struct str body = delivery->bytes.len ? buf_str(&delivery->bytes)
+					      : served_doc(mesh, delivery);
 	struct event event = { .doc = delivery->doc, .body = body };
 	const struct node *n = node->node;
 	uint64_t hash = delivery->doc == DOC_LISTS
@@ -588,8 +599,12 @@
 	if (!node->up || (delivery->incarnation &&
 			  delivery->incarnation != node->opt.incarnation))
 		return false;
-	/* A paused process finds all of it in its sockets when it wakes. */
+	/* A paused process finds all of it in its sockets when it wakes, as it
+	 * was when it came. */
 	if (mesh->now < node->paused_until) {
+		if (delivery->kind == DELIVER_DOC && !delivery->bytes.len)
+			buf_str_add(&delivery->bytes,
+				    served_doc(mesh, delivery));
 		delivery->at = node->paused_until;
 		push(mesh, *delivery);
 		return true;
--- /dev/null
+++ b/tests/run.py
@@ -0,0 +1,110 @@
+"""Runs every test of a build folder and ends with "N passed, N failed".
+
+    python3 tests/run.py BUILD [NAME]
+
+KNOWN-RED.txt may name tests ("test, cause, issue", a line each, three at
+most) whose failure does not fail the run; they are printed.
+"""
+
+import concurrent.futures
+import os
+import re
+import subprocess
+import sys
+import traceback
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, HERE)
+os.chdir(os.path.join(HERE, ".."))
+os.environ["BUILD"] = BUILD = sys.argv[1] if len(sys.argv) > 1 else "build"
+ONLY = sys.argv[2] if len(sys.argv) > 2 else ""
+
+import process  # noqa: E402  (needs BUILD)
+
+FUZZ_SEEDS = "24"
+SAFEGUARDS = ["no_ramp", "no_version_check", "no_coverage_merge",
+              "no_attempt_match", "no_ticket", "no_domain_check",
+              "no_leaving_check", "no_version_order", "no_drain",
+              "no_pause_check"]
+SAFEGUARD_SEEDS = "60"  # it ends with the first that fails
+TEST_SECONDS = 600
+WORKERS = 4
+FIRST_PORT, PORTS_EACH = 20000, 400
+
+
+def known_red():
+    if not os.path.exists("KNOWN-RED.txt"):
+        return {}
+    with open("KNOWN-RED.txt", encoding="utf-8") as file:
+        lines = [line.strip() for line in file if line.strip()]
+    if len(lines) > 3:
+        sys.exit("KNOWN-RED.txt: three at most")
+    return {line.split(",")[0]: line for line in lines}
+
+
+def program(*argv):
+    done = subprocess.run(argv, capture_output=True, text=True,
+                          timeout=TEST_SECONDS, check=False)
+    return done.returncode, done.stdout + done.stderr
+
+
+def run_check(name):
+    """A program on the check library: counts each of its checks."""
+    code, out = program(f"{BUILD}/tests/{name}")
+    counts = re.search(r"Checks: (\d+), Failures: (\d+), Errors: (\d+)", out)
+    if not counts:
+        return name, 0, 1, out
+    total, failed = int(counts[1]), int(counts[2]) + int(counts[3])
+    if code and not failed:
+        failed = 1
+    return name, total - failed, failed, out
+
+
+def run_program(name, *argv):
+    code, out = program(*argv)
+    return name, int(code == 0), int(code != 0), out
+
+
+def run_process(test, base):
+    try:
+        test(base)
+        return test.__name__, 1, 0, ""
+    except Exception:  # a test's failure, whatever it is, is reported
+        return test.__name__, 0, 1, traceback.format_exc()
+
+
+def jobs():
+    for name in ("check-points", "check-input", "check-fetch"):
+        yield name, lambda n=name: run_check(n)
+    yield "fuzz", lambda: run_program(
+        "fuzz", f"{BUILD}/tests/fuzz", "1", FUZZ_SEEDS)
+    for name in SAFEGUARDS:
+        title = f"fuzz finds {name}"
+        yield title, lambda n=name, t=title: run_program(
+            t, f"{BUILD}/tests/fuzz", "1", SAFEGUARD_SEEDS, "400", n)
+    for i, test in enumerate(process.TESTS):
+        yield test.__name__, lambda t=test, b=FIRST_PORT + PORTS_EACH * i: (
+            run_process(t, b))
+
+
+def main():
+    red = known_red()
+    passed = failed = 0
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        futures = [pool.submit(fn) for name, fn in jobs() if ONLY in name]
+        for future in futures:
+            name, good, bad, out = future.result()
+            print(f"{'ok  ' if not bad else 'FAIL'} {name} ({good})")
+            if bad:
+                print(out[-6000:])
+            if bad and name in red:
+                print(f"known red: {red[name]}")
+                bad = 0
+            passed += good
+            failed += bad
+            sys.stdout.flush()
+    print(f"{passed} passed, {failed} failed")
+    sys.exit(1 if failed or not passed else 0)
+
+
+main()
