Hedges go first in the gate's queue, may be followed by one more, at q 0.97

Cause: with one straggler at 10x a question, p99 was far from that without. The hedge itself waited in a queue or straggled.

--- a/front.c
+++ b/front.c
@@ -28,10 +28,11 @@
 	RETRY_AFTER_US = 250000,
 	STARTING_RETRY_US = 1000000,
 	FAR_PENALTY = 16,
+	HEDGED_ATTEMPTS = 3,
 };
 
 #define LIMIT_CUT 0.9
-#define HEDGE_QUANTILE 0.95
+#define HEDGE_QUANTILE 0.97
 #define EPSILON 1e-9
 #define SHARE_STEPS 1e6
 
@@ -125,6 +126,8 @@
 static struct vm *gate_of(struct node *node, struct replica *replica,
 			  const struct fleet_target *target)
 {
+	if (node->opt.direct)
+		return node->member->vms[0];
 	if (replica->epoch != node->member->epoch) {
 		replica->gate =
 			member_owner(node, target->key, target->domain->name);
@@ -353,6 +356,7 @@
 		.shard = leaf->shard->id,
 		.version = q->snapshot->version,
 		.remaining_us = q->hard_at - node->now,
+		.state = leaf->nattempts > 0,
 		.name = leaf->shard->index,
 		.text = q->ask.terms,
 	};
@@ -1052,10 +1056,13 @@
 
 	const struct attempt *last = &leaf->attempts[leaf->nattempts - 1];
 
-	if (!last->open || last->hedge || node->now - last->sent_at < delay)
+	if (!last->open || node->now - last->sent_at < delay ||
+	    leaf->nattempts == HEDGED_ATTEMPTS)
 		return true;
 
-	struct fleet_target *target = choose_replica(node, q, leaf, true);
+	/* A hedge can straggle too; the next may go to a replica once more. */
+	struct fleet_target *target =
+		choose_replica(node, q, leaf, !last->hedge);
 
 	if (!target)
 		return true;
--- a/front.h
+++ b/front.h
@@ -111,7 +111,9 @@
 	double limit; /* questions open at a time, steered */
 	int64_t limit_at; /* last time that it was lowered */
 	double budget; /* extra leaf requests in hand */
-	struct latency *latency;
+	struct latency *latency; /* of leaf requests */
+	struct latency *ratio; /* the same over what the target usually
+				* takes, in thousandths */
 };
 
 void front_init(struct node *node);
--- a/gate.c
+++ b/gate.c
@@ -27,7 +27,7 @@
 	QUEUE_MAX = 512,
 	GRANT_US = 300000,
 	GRACE_US = 2000000,
-	IDLE_US = 20000,
+	IDLE_US = 45000,
 	PROBE_MIN_US = 100000,
 	PROBE_MAX_US = 1000000,
 	PROBE_WAIT_US = 500000,
@@ -194,6 +194,15 @@
 	target->queued++;
 }
 
+static void push_front(struct target *target, struct job *job)
+{
+	job->next = target->head;
+	target->head = job;
+	if (!target->tail)
+		target->tail = job;
+	target->queued++;
+}
+
 static struct job *pop(struct target *target)
 {
 	struct job *job = target->head;
@@ -589,7 +598,13 @@
 		node_send(node, from, incarnation, &no);
 		return;
 	}
-	push(target, job_create(node, target, from, incarnation, msg));
+	struct job *job = job_create(node, target, from, incarnation, msg);
+
+	/* Its question waits for little else than this one. */
+	if (msg->kind == MSG_LEAF && msg->state)
+		push_front(target, job);
+	else
+		push(target, job);
 	pump(node, target);
 }
 
@@ -968,7 +983,7 @@
 	if (target->listed)
 		owner = member_owner(node, target->key, target->domain);
 
-	bool own = owner && owner->key == node->key;
+	bool own = owner && (owner->key == node->key || node->opt.direct);
 
 	if (own && !target->owned)
 		gain(node, target);
@@ -993,6 +1008,13 @@
 	return target;
 }
 
+static int share_of(int slots, size_t nodes)
+{
+	int share = slots / (int)nodes;
+
+	return share < 1 ? 1 : share;
+}
+
 static void list_target(struct node *node, const struct fleet_target *listed)
 {
 	struct target *target = target_get(node, listed);
@@ -1007,6 +1029,8 @@
 	free((char *)target->domain.ptr);
 	target->domain = keep_str(listed->domain->name);
 	target->slots = listed->slots;
+	if (node->opt.direct)
+		target->slots = share_of(listed->slots, member_count(node));
 	if (target->limit > target->slots)
 		target->limit = target->slots;
 	target->listed = true;
--- a/latency.c
+++ b/latency.c
@@ -1,26 +1,27 @@
 #include "latency.h"
 
 enum {
-	PER_OCTAVE = 4,
-	ENOUGH = 64
+	OCTAVE_BITS = 3,
+	PER_OCTAVE = 1 << OCTAVE_BITS,
+	ENOUGH = 64,
 };
 
 static int bucket_of(int64_t us)
 {
-	uint64_t value = us < 4 ? 4 : (uint64_t)us;
+	uint64_t value = us < PER_OCTAVE ? PER_OCTAVE : (uint64_t)us;
 	int octave = 63 - __builtin_clzll(value);
-	int part = (int)(value >> (octave - 2)) & (PER_OCTAVE - 1);
-	int bucket = (octave - 2) * PER_OCTAVE + part;
+	int part = (int)(value >> (octave - OCTAVE_BITS)) & (PER_OCTAVE - 1);
+	int bucket = (octave - OCTAVE_BITS) * PER_OCTAVE + part;
 
 	return bucket < LATENCY_BUCKETS ? bucket : LATENCY_BUCKETS - 1;
 }
 
 static int64_t upper_edge(int bucket)
 {
-	int octave = bucket / PER_OCTAVE + 2;
+	int octave = bucket / PER_OCTAVE + OCTAVE_BITS;
 	int part = bucket % PER_OCTAVE;
 
-	return (int64_t)(PER_OCTAVE + part + 1) << (octave - 2);
+	return (int64_t)(PER_OCTAVE + part + 1) << (octave - OCTAVE_BITS);
 }
 
 void latency_add(struct latency *latency, int64_t us)
--- a/latency.h
+++ b/latency.h
@@ -5,11 +5,11 @@
 /**
  * struct latency - histogram of recent latencies, microseconds
  *
- * Four buckets an octave, halved every LATENCY_WINDOW values, so that it
+ * Eight buckets an octave, halved every LATENCY_WINDOW values, so that it
  * follows the present within a few thousand leaf requests.
  */
 enum {
-	LATENCY_BUCKETS = 96,
+	LATENCY_BUCKETS = 192,
 	LATENCY_WINDOW = 4096
 };
 
--- a/msg.h
+++ b/msg.h
@@ -50,7 +50,7 @@
  * @service_us: time from dispatch to reply, microseconds
  * @doc: enum doc_kind
  * @hash: hash of a document (of the lists in HEARTBEAT)
- * @state: enum vm_state of the sender
+ * @state: enum vm_state of the sender; in LEAF, 1 for a hedge or retry
  * @fresh_us: age of the newest platform reading known, microseconds
  * @amount: tokens asked for or lent
  * @key: ticket sequence or customer hash
--- a/node.h
+++ b/node.h
@@ -45,6 +45,8 @@
  * @peers: addresses to ask before the platform has answered
  * @max_open: questions open at a time
  * @drain_us: longest wait for open requests at a planned stop
+ * @direct: benchmarks only: no gates, each node sends to all targets itself
+ *          with its share of their slots
  */
 struct node_options {
 	struct str addr;
@@ -55,6 +57,7 @@
 	size_t npeers;
 	int max_open;
 	int64_t drain_us;
+	bool direct;
 	struct safeguards off;
 };
 
