Members by key; the gates are reviewed together when VMs come in crowds

Conclusion: the first change is seen to at once, those that follow within 50 ms together; documents are never deferred.

--- a/bench/reducer.c
+++ b/bench/reducer.c
@@ -2,7 +2,7 @@
  * Speed and memory of the decisions alone: one node's reducer, no sockets.
  * One JSON line a measurement; bench/slopes.py fits them.
  *
- *   reducer leafs|targets|members|docs|customers|records
+ *   reducer leafs|targets|members|joins|docs|customers
  */
 #include <malloc.h>
 #include <stdio.h>
@@ -269,7 +269,10 @@
 	msg.version2 = rig.node->fleet->version;
 	msg.hash2 = rig.node->fleet->hash;
 	spent = cpu_now();
-	for (int r = 0; r < rounds; r++) {
+	/* The first period is all joins; it is not counted. */
+	for (int r = -1; r < rounds; r++) {
+		if (!r)
+			spent = cpu_now();
 		rig.now += HEARTBEAT_US;
 		for (int i = 1; i < vms; i++) {
 			char addr[32];
@@ -312,6 +315,34 @@
 	stop(&rig);
 }
 
+/* A node starts at letter 1's size: all others are heard within a second. */
+static void bench_joins(int vms)
+{
+	struct rig rig;
+	struct msg msg = { .kind = MSG_HEARTBEAT,
+			   .state = VM_LIVE,
+			   .name = STR("d3") };
+	double spent;
+
+	start(&rig, 5600, 10, vms, 1);
+	spent = cpu_now();
+	for (int i = 1; i < vms; i++) {
+		char addr[32];
+
+		rig.now += US / vms;
+		snprintf(addr, sizeof(addr), "10.0.%d.%d:7", i / 250, i % 250);
+		feed(&rig, (struct event){ .type = EV_MSG,
+					   .from = str_of(addr),
+					   .incarnation = 1,
+					   .msg = &msg });
+		effects_clear(&rig.fx);
+	}
+	printf("{\"bench\":\"joins\",\"x\":%d,\"targets\":5600,"
+	       "\"cpu_ms\":%.1f}\n",
+	       vms, (cpu_now() - spent) * 1e3);
+	stop(&rig);
+}
+
 /* Documents: bytes and time to take one. */
 static void bench_docs(int targets, int vms)
 {
@@ -379,6 +410,8 @@
 	for (size_t i = 0; i < 4; i++) {
 		if (!strcmp(what, "members"))
 			bench_members(vms[i]);
+		if (!strcmp(what, "joins"))
+			bench_joins(vms[i]);
 		if (!strcmp(what, "targets"))
 			bench_targets(5600, vms[i]);
 	}
--- a/member.c
+++ b/member.c
@@ -33,6 +33,7 @@
 				       member->cap * sizeof(*member->vms));
 	}
 	member->vms[member->count++] = vm;
+	apr_hash_set(member->by_key, &vm->key, sizeof(vm->key), vm);
 	return vm;
 }
 
@@ -58,10 +59,7 @@
 
 struct vm *member_find(const struct node *node, uint64_t key)
 {
-	for (size_t i = 0; i < node->member->count; i++)
-		if (node->member->vms[i]->key == key)
-			return node->member->vms[i];
-	return NULL;
+	return apr_hash_get(node->member->by_key, &key, sizeof(key));
 }
 
 static struct vm *vm_get(struct node *node, struct str addr)
@@ -143,6 +141,8 @@
 	struct member *member = xcalloc(1, sizeof(*member));
 
 	node->member = member;
+	apr_pool_create(&member->pool, node->pool);
+	member->by_key = apr_hash_make(member->pool);
 	member->view_ok = true;
 	member->fresh_at = INT64_MIN;
 	member->paused_at = INT64_MIN;
@@ -162,6 +162,7 @@
 	for (size_t i = 0; i < node->member->count; i++)
 		vm_free(node->member->vms[i]);
 	free(node->member->vms);
+	apr_pool_destroy(node->member->pool);
 	free(node->member);
 }
 
@@ -220,6 +221,7 @@
 		if (vm->listed || is_seed(node, vm) || is_heard(node, vm) ||
 		    node->now - vm->known_at < FORGET_US)
 			continue;
+		apr_hash_set(member->by_key, &vm->key, sizeof(vm->key), NULL);
 		vm_free(vm);
 		member->vms[i] = member->vms[--member->count];
 	}
@@ -255,7 +257,7 @@
 	}
 	forget_vms(node);
 	if (changed)
-		node_view_changed(node);
+		node_vms_changed(node);
 }
 
 /*
@@ -368,7 +370,7 @@
 		node_audit(node, "vm", vm->addr,
 			   was_usable ? STR("unusable") : STR("usable"),
 			   "heartbeat", incarnation);
-		node_view_changed(node);
+		node_vms_changed(node);
 	}
 	conf_offered(node, vm, DOC_LISTS, msg->version, msg->hash);
 	conf_offered(node, vm, DOC_FLEET, msg->version2, msg->hash2);
@@ -408,7 +410,7 @@
 	if (!vm || vm == node->member->vms[0] || vm->heard_at == INT64_MIN)
 		return;
 	vm_gone(node, vm);
-	node_view_changed(node);
+	node_vms_changed(node);
 }
 
 void member_fleet_changed(struct node *node)
--- a/member.h
+++ b/member.h
@@ -48,6 +48,8 @@
 };
 
 struct member {
+	apr_pool_t *pool;
+	apr_hash_t *by_key;
 	struct vm **vms; /* [0] is this node */
 	size_t count;
 	size_t cap;
--- a/node.c
+++ b/node.c
@@ -11,6 +11,7 @@
 #include "xmalloc.h"
 
 enum {
+	REVIEW_US = 50000,
 	LEAVE_MIN_US = 1500000,
 	LEAVE_QUIET_US = 500000,
 	LEAVE_CHECK_US = 50000,
@@ -160,9 +161,30 @@
 void node_view_changed(struct node *node)
 {
 	node->member->epoch++;
+	node->reviewed_at = node->now;
 	gate_view_changed(node);
 }
 
+void node_vms_changed(struct node *node)
+{
+	node->member->epoch++;
+	if (node->now - node->reviewed_at >= REVIEW_US) {
+		node_view_changed(node);
+		return;
+	}
+	if (node->review_due)
+		return;
+	node->review_due = true;
+	timer_add(&node->timers, node->reviewed_at + REVIEW_US, TIMER_REVIEW,
+		  0);
+}
+
+static void review_due(struct node *node)
+{
+	node->review_due = false;
+	node_view_changed(node);
+}
+
 /* Planned stop. */
 
 static bool is_quiet(struct node *node)
@@ -356,6 +378,9 @@
 	case TIMER_LEAVE:
 		leave_check(node);
 		break;
+	case TIMER_REVIEW:
+		review_due(node);
+		break;
 	}
 }
 
--- a/node.h
+++ b/node.h
@@ -66,6 +66,7 @@
  * @key: hash of opt.addr
  * @now: time of the event at hand, monotonic microseconds
  * @fx: effects of the event at hand
+ * @reviewed_at: last review of the gates; @review_due: one is scheduled
  * @lists: accepted lists, NULL before the first
  * @fleet: accepted fleet, NULL before the first
  * @local: messages of this node to itself, handled before node_reduce() ends
@@ -79,6 +80,8 @@
 	struct timers timers;
 	struct effects *fx;
 	uint64_t next_id;
+	int64_t reviewed_at;
+	bool review_due;
 	struct lists *lists;
 	struct fleet *fleet;
 	struct msg *local;
@@ -114,5 +117,8 @@
 		 int64_t retry_after_us);
 void node_audit(struct node *node, const char *what, struct str from,
 		struct str to, const char *why, uint64_t version);
-/** node_view_changed() - VMs, documents or state changed; review all. */
+/** node_view_changed() - documents or own state changed; review all gates. */
 void node_view_changed(struct node *node);
+/** node_vms_changed() - the same after VMs came or went, which they do in
+ *  crowds: the first is seen to at once, those that follow together. */
+void node_vms_changed(struct node *node);
--- a/timer.h
+++ b/timer.h
@@ -17,6 +17,7 @@
 	TIMER_RECORD,
 	TIMER_FORWARD,
 	TIMER_LEAVE,
+	TIMER_REVIEW,
 };
 
 /**
