--- a/bench/reducer.c
+++ b/bench/reducer.c
@@ -2,7 +2,7 @@
  * Speed and memory of the decisions alone: one node's reducer, no sockets.
  * One JSON line a measurement; bench/slopes.py fits them.
  *
- *   reducer leafs|targets|members|joins|docs|customers
+ *   reducer leafs|targets|members|joins|docs|customers|records
  */
 #include <malloc.h>
 #include <stdio.h>
@@ -395,6 +395,51 @@
 	stop(&rig);
 }
 
+/* Records of entries that were concluded: bytes each. */
+static void bench_records(int records)
+{
+	struct rig rig;
+	double heap;
+
+	start(&rig, 10, 10, 1, 1);
+	heap = heap_now();
+	for (int i = 0; i < records; i++) {
+		char body[400];
+		char ticket[160] = "";
+
+		feed(&rig,
+		     (struct event){ .type = EV_TICKET,
+				     .id = ++rig.caller,
+				     .body = STR("{\"customer\":\"c0\","
+						 "\"request_id\":\"r\"}") });
+		for (size_t n = 0; n < rig.fx.count; n++) {
+			struct str answer = rig.fx.list[n].body;
+			const char *at =
+				memmem(answer.ptr ? answer.ptr : "", answer.len,
+				       "\"ticket\":\"", 10);
+
+			if (at)
+				sscanf(at + 10, "%150[^\"]", ticket);
+		}
+		settle(&rig);
+		snprintf(body, sizeof(body),
+			 "{\"customer\":\"c0\",\"request_id\":\"r\","
+			 "\"ticket\":\"%s\",\"index\":\"rest\","
+			 "\"key\":1,\"entry\":{\"tubes\":40}}",
+			 ticket);
+		feed(&rig, (struct event){ .type = EV_ENTRY,
+					   .id = ++rig.caller,
+					   .body = str_of(body) });
+		settle(&rig);
+	}
+	heap = heap_now() - heap;
+	printf("{\"bench\":\"records\",\"x\":%d,\"bytes\":%.0f,"
+	       "\"not_run\":%llu}\n",
+	       records, heap,
+	       (unsigned long long)rig.node->counters[CNT_ENTRIES_NOT_RUN]);
+	stop(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	static const int sizes[] = { 10, 100, 260, 1000, 5600 };
@@ -411,6 +456,8 @@
 			bench_docs(sizes[i], 9);
 		if (!strcmp(what, "customers"))
 			bench_customers(sizes[i]);
+		if (!strcmp(what, "records"))
+			bench_records(sizes[i]);
 	}
 	/* Flat in the number of targets: the same fan-out, more of them. */
 	for (size_t i = 2; i < 5 && !strcmp(what, "leafs"); i++)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -30,6 +30,7 @@
     ("docs", "parse_ms", lambda r: r["vms"] == 9,
      "time to take the fleet document over targets"),
     ("customers", "bytes", lambda r: True, "bytes over customers seen"),
+    ("records", "bytes", lambda r: True, "bytes over records of entries"),
 ]
 
 
--- a/gate.c
+++ b/gate.c
@@ -66,21 +66,6 @@
 	gate->keys = apr_hash_make(gate->pool);
 }
 
-static char *keep(struct str s)
-{
-	char *copy = xmalloc(s.len + 1);
-
-	if (s.len)
-		memcpy(copy, s.ptr, s.len);
-	copy[s.len] = '\0';
-	return copy;
-}
-
-static struct str keep_str(struct str s)
-{
-	return (struct str){ keep(s), s.len };
-}
-
 static void job_free(struct node *node, struct job *job)
 {
 	struct gate *gate = node->gate;
@@ -89,9 +74,9 @@
 	apr_hash_set(gate->numbers, &job->number, sizeof(job->number), NULL);
 	if (apr_hash_get(gate->keys, key, sizeof(*key)) == job)
 		apr_hash_set(gate->keys, key, sizeof(*key), NULL);
-	free((char *)job->addr.ptr);
-	free((char *)job->index.ptr);
-	free((char *)job->terms.ptr);
+	str_free(job->addr);
+	str_free(job->index);
+	str_free(job->terms);
 	job->target->jobs--;
 	if (job->state != JOB_DONE)
 		gate->open--;
@@ -100,9 +85,9 @@
 
 static void target_free(struct target *target)
 {
-	free((char *)target->name.ptr);
-	free((char *)target->addr.ptr);
-	free((char *)target->domain.ptr);
+	str_free(target->name);
+	str_free(target->addr);
+	str_free(target->domain);
 	free(target);
 }
 
@@ -538,14 +523,14 @@
 	job->incarnation = incarnation;
 	job->id = msg->id;
 	job->attempt = msg->attempt;
-	job->addr = keep_str(from);
+	job->addr = str_keep(from);
 	job->is_entry = msg->kind == MSG_RESERVE;
 	job->target = target;
 	target->jobs++;
 	job->shard = msg->shard;
 	job->version = msg->version;
-	job->index = keep_str(msg->name);
-	job->terms = keep_str(msg->text);
+	job->index = str_keep(msg->name);
+	job->terms = str_keep(msg->text);
 	job->queued_at = node->now;
 	job->deadline = node->now + msg->remaining_us;
 	apr_hash_set(gate->numbers, &job->number, sizeof(job->number), job);
@@ -1001,7 +986,7 @@
 	if (!target) {
 		target = xcalloc(1, sizeof(*target));
 		target->key = listed->key;
-		target->name = keep_str(listed->name);
+		target->name = str_keep(listed->name);
 		apr_hash_set(gate->targets, &target->key, sizeof(target->key),
 			     target);
 	}
@@ -1021,13 +1006,13 @@
 	bool was_out = target->domain_out;
 
 	if (!str_eq(target->addr, listed->addr)) {
-		free((char *)target->addr.ptr);
-		target->addr = keep_str(listed->addr);
+		str_free(target->addr);
+		target->addr = str_keep(listed->addr);
 		target->boot = 0;
 		target->limit = FLOOR;
 	}
-	free((char *)target->domain.ptr);
-	target->domain = keep_str(listed->domain->name);
+	str_free(target->domain);
+	target->domain = str_keep(listed->domain->name);
 	target->slots = listed->slots;
 	if (node->opt.direct)
 		target->slots = share_of(listed->slots, member_count(node));
--- a/member.c
+++ b/member.c
@@ -19,11 +19,8 @@
 {
 	struct member *member = node->member;
 	struct vm *vm = xcalloc(1, sizeof(*vm));
-	char *copy = xmalloc(addr.len + 1);
 
-	memcpy(copy, addr.ptr, addr.len);
-	copy[addr.len] = '\0';
-	vm->addr = (struct str){ copy, addr.len };
+	vm->addr = str_keep(addr);
 	vm->key = str_hash(addr);
 	vm->heard_at = INT64_MIN;
 	vm->known_at = node->now;
@@ -39,8 +36,8 @@
 
 static void vm_free(struct vm *vm)
 {
-	free((char *)vm->domain.ptr);
-	free((char *)vm->addr.ptr);
+	str_free(vm->domain);
+	str_free(vm->addr);
 	free(vm);
 }
 
@@ -49,12 +46,8 @@
 	if (str_eq(vm->domain, domain))
 		return;
 
-	char *copy = xmalloc(domain.len + 1);
-
-	memcpy(copy, domain.ptr, domain.len);
-	copy[domain.len] = '\0';
-	free((char *)vm->domain.ptr);
-	vm->domain = (struct str){ copy, domain.len };
+	str_free(vm->domain);
+	vm->domain = str_keep(domain);
 }
 
 struct vm *member_find(const struct node *node, uint64_t key)
--- a/once.c
+++ b/once.c
@@ -58,6 +58,15 @@
 	once->first_seq = node->next_id + 1;
 }
 
+static void record_free(struct record *record)
+{
+	if (record->pool)
+		apr_pool_destroy(record->pool);
+	str_free(record->request_id);
+	str_free(record->result);
+	free(record);
+}
+
 void once_destroy(struct node *node)
 {
 	struct once *once = node->once;
@@ -67,7 +76,7 @@
 		struct record *record = once->oldest;
 
 		once->oldest = record->newer;
-		apr_pool_destroy(record->pool);
+		record_free(record);
 	}
 	for (it = apr_hash_first(once->pool, once->forwards); it;
 	     it = apr_hash_next(it)) {
@@ -268,7 +277,7 @@
 		apr_hash_set(once->records, &record->seq, sizeof(record->seq),
 			     NULL);
 		once->count--;
-		apr_pool_destroy(record->pool);
+		record_free(record);
 	}
 }
 
@@ -281,11 +290,11 @@
 	struct record *record;
 
 	apr_pool_create(&pool, once->pool);
-	record = apr_pcalloc(pool, sizeof(*record));
+	record = xcalloc(1, sizeof(*record));
 	record->pool = pool;
 	record->seq = seq;
 	entry_parse(body, false, pool, &record->entry, &err);
-	record->request_id = record->entry.request_id;
+	record->request_id = str_keep(record->entry.request_id);
 	record->customer = str_hash(record->entry.customer);
 	record->body_hash = str_hash(record->entry.entry);
 	record->state = RECORD_RESERVE;
@@ -335,13 +344,18 @@
 		node->once->open--;
 	record->state = state;
 	record->code = code;
-	record->result = str_dup(record->pool, result);
+	str_free(record->result);
+	record->result = str_keep(result);
 	if (!record->retry_us)
 		record->retry_us = RETRY_US;
 	node->counters[counters[state]]++;
 	for (struct waiter *w = record->waiters; w; w = w->next)
 		tell_record(node, record, w);
 	record->waiters = NULL;
+	record->entry = (struct entry){ 0 };
+	if (record->pool)
+		apr_pool_destroy(record->pool);
+	record->pool = NULL;
 }
 
 static void set_not_run(struct node *node, struct record *record, int code)
@@ -881,6 +895,8 @@
 
 void once_caller_gone(struct node *node, uint64_t caller)
 {
+	if (!node->once->open)
+		return;
 	for (struct record *r = node->once->newest; r; r = r->older) {
 		if (is_final(r))
 			continue;
--- a/once.h
+++ b/once.h
@@ -33,6 +33,8 @@
 
 /**
  * struct record - one used ticket
+ * @pool: owns the entry and the waiters; gone once the outcome is final, so
+ *        that the many records that are kept stay small
  * @seq: number of the ticket
  * @attempt: reservations tried
  * @gate, @gate_incarnation: gate of the current attempt
--- a/quota.c
+++ b/quota.c
@@ -70,7 +70,7 @@
 
 static void account_free(struct account *account)
 {
-	free((char *)account->name.ptr);
+	str_free(account->name);
 	free(account->waiters);
 	free(account);
 }
@@ -102,13 +102,9 @@
 		apr_hash_get(node->quota->customers, &key, sizeof(key));
 
 	if (!account) {
-		char *copy = xmalloc(name.len + 1);
-
-		memcpy(copy, name.ptr, name.len);
-		copy[name.len] = '\0';
 		account = xcalloc(1, sizeof(*account));
 		account->key = key;
-		account->name = (struct str){ copy, name.len };
+		account->name = str_keep(name);
 		account->recent_at = node->now;
 		apr_hash_set(node->quota->customers, &account->key,
 			     sizeof(account->key), account);
--- a/str.c
+++ b/str.c
@@ -29,6 +29,21 @@
 	return (struct str){ copy, s.len };
 }
 
+struct str str_keep(struct str s)
+{
+	char *copy = xmalloc(s.len + 1);
+
+	if (s.len)
+		memcpy(copy, s.ptr, s.len);
+	copy[s.len] = '\0';
+	return (struct str){ copy, s.len };
+}
+
+void str_free(struct str s)
+{
+	free((char *)s.ptr);
+}
+
 void buf_reserve(struct buf *buf, size_t more)
 {
 	size_t cap = buf->cap ? buf->cap : BUF_MIN;
--- a/str.h
+++ b/str.h
@@ -54,6 +54,10 @@
 /** str_dup() - copy into @pool, with a terminating NUL for C interfaces. */
 struct str str_dup(apr_pool_t *pool, struct str s);
 
+/** str_keep() - copy to the heap, with a terminating NUL; see str_free(). */
+struct str str_keep(struct str s);
+void str_free(struct str s);
+
 void buf_reserve(struct buf *buf, size_t more);
 void buf_add(struct buf *buf, const void *data, size_t len);
 void buf_str_add(struct buf *buf, struct str s);
