--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,53 @@
+"""A node must not grow: resident memory of each node under steady load.
+
+    python3 bench/soak.py [SECONDS [RATE]]
+
+Prints a JSON line every ten seconds with the nodes' resident kB, and at last
+the growth from the second line to the last one.
+"""
+
+import json
+import os
+import subprocess
+import sys
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "tests"))
+
+from world import BUILD, THIVA, World  # noqa: E402
+
+STEP = 10
+
+
+def resident_kb(pid):
+    with open(f"/proc/{pid}/status", encoding="ascii") as status:
+        for line in status:
+            if line.startswith("VmRSS"):
+                return int(line.split()[1])
+    return 0
+
+
+def main():
+    seconds = int(sys.argv[1]) if len(sys.argv) > 1 else 120
+    rate = sys.argv[2] if len(sys.argv) > 2 else "30"
+    with World(THIVA, nodes=3, base=25000) as w:
+        pids = [w.procs[n["name"]].pid for n in w.nodes]
+        load = subprocess.Popen(
+            [f"{BUILD}/bench/load", ",".join(n["callers"] for n in w.nodes),
+             rate, str(seconds), "mill-7", ",".join(w.site["indexes"])],
+            stdout=subprocess.PIPE)
+        lines = []
+        for i in range(seconds // STEP):
+            time.sleep(STEP)
+            w.enter(0, f"o{i}", w.ticket(1, f"o{i}")["ticket"], key=i)
+            w.publish_fleet(lambda f: None)
+            lines.append([resident_kb(pid) for pid in pids])
+            print(json.dumps({"second": STEP * (i + 1),
+                              "resident_kb": lines[-1]}), flush=True)
+        got = json.loads(load.communicate()[0])
+        growth = [b - a for a, b in zip(lines[1], lines[-1])]
+        print(json.dumps({"answered": got["answered"], "wrong": got["wrong"],
+                          "growth_kb": growth}))
+
+
+main()
--- /dev/null
+++ b/tests/fuzz_input.c
@@ -0,0 +1,84 @@
+/*
+ * Coverage-guided fuzzing (libFuzzer) of all that is decoded: the first byte
+ * chooses the decoder. Built and run by scripts/fuzz.sh.
+ */
+#include <apr_general.h>
+
+#include "../ask.h"
+#include "../config.h"
+#include "../doc.h"
+#include "../target.h"
+#include "../wire.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void take_frame(struct str in)
+{
+	struct frame frame;
+	struct error err;
+
+	if (frame_decode(in, &frame, &err) > 0)
+		frame_free(&frame);
+}
+
+static void take_fleet(struct str in)
+{
+	struct error err;
+
+	fleet_unref(fleet_parse(in, &err));
+}
+
+static void take_lists(struct str in)
+{
+	struct error err;
+
+	lists_free(lists_parse(in, &err));
+}
+
+static void take_settings(struct str in)
+{
+	struct error err;
+
+	config_free(config_parse("vm.json", in, &err));
+}
+
+static void take_caller(struct str in)
+{
+	struct error err;
+	struct entry entry;
+	struct ask ask;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, NULL);
+	ask_parse(in, pool, &ask, &err);
+	entry_parse(in, false, pool, &entry, &err);
+	apr_pool_destroy(pool);
+}
+
+static void take_reply(struct str in)
+{
+	struct fetched got = { .result = FETCH_OK };
+	struct buf rows = { 0 };
+
+	target_reply(in, 200, &got, &rows);
+	buf_free(&rows);
+}
+
+static void (*const decoders[])(struct str in) = {
+	take_frame,    take_fleet,  take_lists,
+	take_settings, take_caller, take_reply,
+};
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	static bool ready;
+
+	if (!ready)
+		apr_initialize();
+	ready = true;
+	if (!size)
+		return 0;
+	decoders[*data % (sizeof(decoders) / sizeof(*decoders))](
+		(struct str){ (const char *)data + 1, size - 1 });
+	return 0;
+}
