--- /dev/null
+++ b/answer.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include "front.h"
+
+/** DOC: the answer to a question, as JSON, and its coverage */
+
+/** answer_share() - @weight as a share of the map's weight, 0 to 1. */
+double answer_share(const struct question *q, double weight);
+void answer_send(struct node *node, const struct question *q);
--- a/bench/load.c
+++ b/bench/load.c
@@ -17,6 +17,7 @@
 
 #include "../fetch.h"
 #include "../rng.h"
+#include "../tests/rows.h"
 #include "../xmalloc.h"
 
 enum {
@@ -73,47 +74,12 @@
 	}
 }
 
-/*
- * Each row names its shard, snapshot and terms: all must be this question's,
- * no shard may stand twice, and the coverage must be what the rows give (all
- * weights are 1 in the benchmarks' fleets).
- */
 static bool is_right(uint64_t id, json_t *doc)
 {
-	json_t *rows = json_object_get(doc, "rows");
-	size_t missing = json_array_size(json_object_get(doc, "missing"));
-	size_t count = json_array_size(rows);
-	json_int_t snapshot =
-		json_integer_value(json_object_get(doc, "snapshot"));
-	double coverage = json_number_value(json_object_get(doc, "coverage"));
-	json_t *seen = json_object();
 	char terms[32];
-	bool right = true;
-	json_t *row;
-	size_t i;
 
 	snprintf(terms, sizeof(terms), "q%llu", (unsigned long long)id);
-	json_array_foreach(rows, i, row)
-	{
-		const char *text =
-			json_string_value(json_object_get(row, "terms"));
-		char shard[24];
-
-		snprintf(shard, sizeof(shard), "%lld",
-			 (long long)json_integer_value(
-				 json_object_get(row, "shard")));
-		if (!text || strcmp(text, terms) ||
-		    json_integer_value(json_object_get(row, "version")) !=
-			    snapshot ||
-		    json_object_get(seen, shard))
-			right = false;
-		json_object_set_new(seen, shard, json_true());
-	}
-	json_decref(seen);
-	if (count + missing == 0)
-		return false;
-	return right && fabs(coverage -
-			     (double)count / (double)(count + missing)) < 1e-5;
+	return !rows_fault(doc, terms);
 }
 
 static void take_answer(struct load *load, uint64_t id, json_t *doc)
--- a/conf.c
+++ b/conf.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "replica.h"
 #include "xmalloc.h"
 
 enum {
@@ -237,9 +238,13 @@
 
 	if (doc->refused && str_hash(body) == doc->refused)
 		return;
-	if (kind == DOC_LISTS ? take_lists(node, body, why)
-			      : take_fleet(node, body, why))
+	bool taken = kind == DOC_LISTS ? take_lists(node, body, why)
+				       : take_fleet(node, body, why);
+
+	if (taken)
 		node_view_changed(node);
+	if (taken && kind == DOC_FLEET)
+		replica_forget(node);
 }
 
 /* The VMs named in a fleet that is not in force yet are asked for newer. */
--- a/front.c
+++ b/front.c
@@ -1,22 +1,21 @@
 #include "front.h"
 
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include <apr_tables.h>
 
-#include "gate.h"
+#include "answer.h"
 #include "latency.h"
 #include "quota.h"
+#include "replica.h"
+#include "snapshot.h"
 #include "xmalloc.h"
 
 enum {
 	REROUTES_MAX = 4,
 	REROUTE_US = 20000,
 	REROUTE_FACTOR = 3,
-	AVOID_US = 200000,
-	LACKS_US = 2000000,
 	HEDGE_MIN_US = 1000,
 	HEDGE_FIRST_US = 50000,
 	LIMIT_MIN = 4,
@@ -24,37 +23,14 @@
 	WAIT_SHARE = 4,
 	BUDGET_MAX = 256,
 	BUDGET_START = 32,
-	EWMA_SHIFT = 3,
-	REPLICA_FIRST_US = 2000,
 	RETRY_AFTER_US = 250000,
 	STARTING_RETRY_US = 1000000,
-	FAR_PENALTY = 16,
 	HEDGED_ATTEMPTS = 3,
 };
 
 #define LIMIT_CUT 0.9
 #define HEDGE_QUANTILE 0.97
 #define EPSILON 1e-9
-#define SHARE_STEPS 1e6
-
-/**
- * struct replica - what this front knows of a target from its own requests
- * @latency_us: smoothed time from sending to reply
- * @outstanding: leaf requests under way
- * @avoid_until: after a failure
- * @lacks_version, @lacks_until: snapshot that it did not have
- * @gate, @epoch: its gate in the current view
- */
-struct replica {
-	uint64_t key;
-	int64_t latency_us;
-	int outstanding;
-	int64_t avoid_until;
-	uint64_t lacks_version;
-	int64_t lacks_until;
-	struct vm *gate;
-	uint64_t epoch;
-};
 
 static void finish(struct node *node, struct question *q, int code);
 
@@ -105,201 +81,6 @@
 	return node->front->open;
 }
 
-/* Replicas. */
-
-static struct replica *replica_get(struct node *node, uint64_t key)
-{
-	struct front *front = node->front;
-	struct replica *replica =
-		apr_hash_get(front->targets, &key, sizeof(key));
-
-	if (!replica) {
-		replica = xcalloc(1, sizeof(*replica));
-		replica->key = key;
-		replica->latency_us = REPLICA_FIRST_US;
-		replica->epoch = UINT64_MAX;
-		apr_hash_set(front->targets, &replica->key,
-			     sizeof(replica->key), replica);
-	}
-	return replica;
-}
-
-static struct vm *gate_of(struct node *node, struct replica *replica,
-			  const struct fleet_target *target)
-{
-	if (node->opt.direct)
-		return node->member->vms[0];
-	if (replica->epoch != node->member->epoch) {
-		replica->gate =
-			member_owner(node, target->key, target->domain->name);
-		replica->epoch = node->member->epoch;
-	}
-	return replica->gate;
-}
-
-static bool has_version(struct node *node, const struct fleet_target *target,
-			uint64_t version)
-{
-	const struct replica *replica = replica_get(node, target->key);
-
-	return replica->lacks_version != version ||
-	       node->now >= replica->lacks_until;
-}
-
-static bool may_use(struct node *node, const struct fleet_target *target,
-		    uint64_t version)
-{
-	return gate_listed(node, target->key) &&
-	       has_version(node, target, version);
-}
-
-/* Whether an attempt of @leaf went to @target, and one is still open. */
-static bool was_tried(const struct leaf *leaf,
-		      const struct fleet_target *target, bool *same_domain)
-{
-	bool tried = false;
-
-	*same_domain = false;
-	for (uint32_t i = 0; i < leaf->nattempts; i++) {
-		const struct fleet_target *other = leaf->attempts[i].target;
-
-		if (other == target)
-			tried = true;
-		if (other->domain == target->domain)
-			*same_domain = true;
-	}
-	return tried;
-}
-
-/*
- * The replica with the least expected time. A failed one goes last, and so
- * does one in a failure domain that was tried before: what made the first
- * attempt slow or lost is likely to be shared within the domain.
- */
-static struct fleet_target *choose_replica(struct node *node,
-					   const struct question *q,
-					   const struct leaf *leaf,
-					   bool fresh_only)
-{
-	struct fleet_target *best = NULL;
-	double best_score = 0;
-
-	for (size_t i = 0; i < leaf->shard->nreplicas; i++) {
-		struct fleet_target *target = leaf->shard->replicas[i];
-		bool same_domain;
-		bool tried = was_tried(leaf, target, &same_domain);
-
-		if (!may_use(node, target, q->snapshot->version) ||
-		    (fresh_only && tried))
-			continue;
-
-		const struct replica *replica = replica_get(node, target->key);
-		double score = (double)replica->latency_us *
-			       (1 + replica->outstanding);
-
-		if (tried)
-			score *= (double)FAR_PENALTY * FAR_PENALTY;
-		if (same_domain)
-			score *= FAR_PENALTY;
-		if (node->now < replica->avoid_until)
-			score *= FAR_PENALTY;
-		if (best && score >= best_score)
-			continue;
-		best = target;
-		best_score = score;
-	}
-	return best;
-}
-
-/* Snapshot. */
-
-static bool is_available(struct node *node, const struct shard *shard,
-			 uint64_t version)
-{
-	for (size_t i = 0; i < shard->nreplicas; i++)
-		if (may_use(node, shard->replicas[i], version))
-			return true;
-	return false;
-}
-
-static bool is_wanted(const struct ask *ask, uint32_t id)
-{
-	size_t low = 0;
-	size_t high = ask->nshards;
-
-	if (!ask->nshards)
-		return true;
-	while (low < high) {
-		size_t mid = (low + high) / 2;
-
-		if (ask->shards[mid] < id)
-			low = mid + 1;
-		else
-			high = mid;
-	}
-	return low < ask->nshards && ask->shards[low] == id;
-}
-
-/* Shards of the question in @snap, their weight, and the weight at hand. */
-static size_t measure(struct node *node, const struct ask *ask,
-		      const struct snapshot *snap, double *total,
-		      double *available)
-{
-	size_t found = 0;
-
-	*total = 0;
-	*available = 0;
-	for (size_t i = 0; i < ask->nindexes; i++) {
-		size_t count;
-		const struct shard *shards =
-			snapshot_range(snap, ask->indexes[i], &count);
-
-		if (!count)
-			return 0;
-		for (size_t j = 0; j < count; j++) {
-			if (!is_wanted(ask, shards[j].id))
-				continue;
-			found++;
-			*total += shards[j].weight;
-			if (is_available(node, &shards[j], snap->version))
-				*available += shards[j].weight;
-		}
-	}
-	return ask->nshards && found != ask->nshards ? 0 : found;
-}
-
-/*
- * The newest snapshot that promises the coverage that the plan wants; if none
- * does, the one that promises most. Chosen once for the whole question.
- */
-static const struct snapshot *
-choose_snapshot(struct node *node, const struct ask *ask,
-		const struct fleet *fleet, double floor,
-		const struct snapshot *not_this, size_t *count, double *total)
-{
-	const struct snapshot *best = NULL;
-	double best_share = -1;
-
-	for (size_t i = 0; i < fleet->nsnapshots; i++) {
-		const struct snapshot *snap = &fleet->snapshots[i];
-		double weight;
-		double available;
-		size_t found = measure(node, ask, snap, &weight, &available);
-
-		if (!found || snap == not_this)
-			continue;
-		if (available / weight <= best_share)
-			continue;
-		best = snap;
-		best_share = available / weight;
-		*count = found;
-		*total = weight;
-		if (best_share >= floor - EPSILON)
-			break;
-	}
-	return best;
-}
-
 /* Attempts. */
 
 static void send_cancel(struct node *node, const struct question *q,
@@ -341,7 +122,7 @@
 			 bool hedge)
 {
 	struct replica *replica = replica_get(node, target->key);
-	struct vm *gate = gate_of(node, replica, target);
+	struct vm *gate = replica_gate(node, replica, target);
 
 	if (!gate || leaf->nattempts == LEAF_ATTEMPTS)
 		return false;
@@ -399,14 +180,9 @@
 
 /* Outcome of a leaf. */
 
-static double share_of(const struct question *q, double weight)
-{
-	return q->total > 0 ? weight / q->total : 0;
-}
-
 static bool floor_met(const struct question *q)
 {
-	return share_of(q, q->covered) >= q->plan.floor - EPSILON;
+	return answer_share(q, q->covered) >= q->plan.floor - EPSILON;
 }
 
 static bool is_done(const struct question *q)
@@ -428,7 +204,7 @@
 
 	if (q->restarted || q->hard_at - node->now < node->now - q->start)
 		return false;
-	other = choose_snapshot(node, &q->ask, q->fleet, q->plan.floor,
+	other = snapshot_choose(node, &q->ask, q->fleet, q->plan.floor,
 				q->snapshot, &count, &total);
 	if (!other || node->front->budget < (double)q->nleafs / 2)
 		return false;
@@ -453,7 +229,7 @@
 	for (size_t i = 0; i < q->nleafs; i++)
 		if (q->leafs[i].state == LEAF_OPEN)
 			open += q->leafs[i].shard->weight;
-	return share_of(q, q->covered + open) >= q->plan.floor - EPSILON;
+	return answer_share(q, q->covered + open) >= q->plan.floor - EPSILON;
 }
 
 /* Return: false when the question has started anew. */
@@ -509,12 +285,12 @@
 	if (any_open(leaf) || leaf->retry_at)
 		return true;
 	if (leaf->nattempts == LEAF_ATTEMPTS ||
-	    !choose_replica(node, q, leaf, false))
+	    !replica_choose(node, q, leaf, false))
 		return set_missing(node, q, leaf, why);
 	if (ran && !take_budget(node))
 		return set_missing(node, q, leaf, why);
 	node->counters[ran ? CNT_RETRIES : CNT_REROUTES]++;
-	target = choose_replica(node, q, leaf, true);
+	target = replica_choose(node, q, leaf, true);
 	if (!target)
 		return retry_later(node, q, leaf, why);
 	if (!send_attempt(node, q, leaf, target, false))
@@ -533,14 +309,14 @@
 			snapshot_range(q->snapshot, q->ask.indexes[i], &count);
 
 		for (size_t j = 0; j < count; j++)
-			if (is_wanted(&q->ask, shards[j].id))
+			if (snapshot_wants(&q->ask, shards[j].id))
 				q->leafs[n++].shard = &shards[j];
 	}
 	q->open_leafs = q->nleafs;
 	for (size_t i = 0; i < q->nleafs; i++) {
 		struct leaf *leaf = &q->leafs[i];
 		struct fleet_target *target =
-			choose_replica(node, q, leaf, true);
+			replica_choose(node, q, leaf, true);
 
 		if (!target) {
 			leaf->state = LEAF_MISSING;
@@ -626,7 +402,7 @@
 
 	q->waiting = false;
 	q->fleet = fleet_ref(node->fleet);
-	q->snapshot = choose_snapshot(node, &q->ask, q->fleet, q->plan.floor,
+	q->snapshot = snapshot_choose(node, &q->ask, q->fleet, q->plan.floor,
 				      NULL, &count, &total);
 	if (!q->snapshot) {
 		refuse(node, q->caller, ERR_NO_SNAPSHOT,
@@ -745,85 +521,6 @@
 	drop(node, q);
 }
 
-/* Answer. */
-
-static void add_missing(const struct question *q, struct buf *out)
-{
-	bool first = true;
-
-	buf_str_add(out, STR(",\"missing\":["));
-	for (size_t i = 0; i < q->nleafs; i++) {
-		const struct leaf *leaf = &q->leafs[i];
-
-		if (leaf->state == LEAF_MERGED)
-			continue;
-		buf_printf(out, "%s{\"shard\":%u,\"index\":", first ? "" : ",",
-			   leaf->shard->id);
-		buf_json_add(out, leaf->shard->index);
-		buf_printf(out, ",\"kind\":\"%s\"}",
-			   error_info(leaf->state == LEAF_OPEN && !leaf->why
-					      ? ERR_DEADLINE
-					      : leaf->why)
-				   ->kind);
-		first = false;
-	}
-	buf_add(out, "]", 1);
-}
-
-static void add_rows(const struct question *q, struct buf *out)
-{
-	bool first = true;
-
-	buf_str_add(out, STR(",\"rows\":["));
-	for (size_t i = 0; i < q->nleafs; i++) {
-		struct str rows = q->leafs[i].rows;
-
-		if (q->leafs[i].state != LEAF_MERGED || rows.len <= 2)
-			continue;
-		if (!first)
-			buf_add(out, ",", 1);
-		buf_add(out, rows.ptr + 1, rows.len - 2);
-		first = false;
-	}
-	buf_str_add(out, STR("]}"));
-}
-
-static bool is_complete(const struct question *q)
-{
-	for (size_t i = 0; i < q->nleafs; i++)
-		if (q->leafs[i].state != LEAF_MERGED)
-			return false;
-	return true;
-}
-
-static void answer(struct node *node, struct question *q)
-{
-	struct buf out = { 0 };
-	bool complete = is_complete(q);
-	/* Rounded down: a partial answer never reads as a complete one. */
-	double covered =
-		complete ? 1
-			 : floor(share_of(q, q->covered) * SHARE_STEPS) /
-				   SHARE_STEPS;
-	int status = covered > 0 ? 200 : 504;
-
-	if (node->opt.off.no_coverage_merge)
-		covered = 1;
-	buf_str_add(&out, STR("{\"request_id\":"));
-	buf_json_add(&out, q->ask.request_id);
-	buf_printf(&out, ",\"snapshot\":%llu,\"coverage\":%.6f",
-		   (unsigned long long)q->snapshot->version, covered);
-	buf_printf(&out, ",\"complete\":%s", complete ? "true" : "false");
-	buf_printf(&out, ",\"elapsed_ms\":%.3f,\"requests\":%u,\"hedges\":%u",
-		   (double)(node->now - q->start) / 1000, q->sent, q->hedges);
-	add_missing(q, &out);
-	add_rows(q, &out);
-	node->counters[CNT_ANSWERED]++;
-	node->counters[complete ? CNT_COMPLETE : CNT_PARTIAL]++;
-	node_answer(node, q->caller, status, buf_str(&out));
-	buf_free(&out);
-}
-
 /*
  * The limit on open questions follows the gates' queues: a long wait there
  * means that the fleet as a whole has more than its slots carry, and a
@@ -855,7 +552,7 @@
 		close_all(node, q, &q->leafs[i]);
 	steer_limit(node, q);
 	if (!code)
-		answer(node, q);
+		answer_send(node, q);
 	drop(node, q);
 }
 
@@ -872,35 +569,6 @@
 
 /* Replies. */
 
-static void note_latency(struct node *node, const struct attempt *attempt)
-{
-	struct replica *replica = replica_get(node, attempt->target->key);
-	int64_t took = node->now - attempt->sent_at;
-
-	replica->latency_us += (took - replica->latency_us) >> EWMA_SHIFT;
-	if (replica->latency_us < 1)
-		replica->latency_us = 1;
-	latency_add(node->front->latency, took);
-}
-
-static void note_failure(struct node *node, const struct question *q,
-			 const struct attempt *attempt, int status)
-{
-	struct replica *replica = replica_get(node, attempt->target->key);
-
-	if (status == ERR_WRONG_VERSION) {
-		replica->lacks_version = q->snapshot->version;
-		replica->lacks_until = node->now + LACKS_US;
-		node->counters[CNT_LEAF_WRONG_VERSION]++;
-	} else if (status == ERR_NOT_OWNER || status == ERR_GATE_LOST) {
-		replica->epoch = UINT64_MAX;
-	} else {
-		replica->avoid_until = node->now + AVOID_US;
-	}
-	if (status == ERR_MALFORMED)
-		node->counters[CNT_LEAF_MALFORMED]++;
-}
-
 /*
  * A reply counts only for the attempt that it answers: question, shard,
  * attempt number, and the node and incarnation that carried it. Anything else
@@ -1004,12 +672,12 @@
 	if (msg->wait_us > q->worst_wait)
 		q->worst_wait = msg->wait_us;
 	if (!status) {
-		note_latency(node, attempt);
+		replica_answered(node, attempt);
 		merge(node, q, leaf, attempt, msg);
 	} else {
 		if (status == ERR_QUEUE_FULL)
 			q->worst_wait = q->plan.soft_us;
-		note_failure(node, q, attempt, status);
+		replica_failed(node, q, attempt, status);
 		fail_over(node, q, leaf, status, msg->ran);
 	}
 	if (is_done(q))
@@ -1029,7 +697,7 @@
 		leaf->retry_at = 0;
 
 		struct fleet_target *target =
-			choose_replica(node, q, leaf, false);
+			replica_choose(node, q, leaf, false);
 
 		if (target && send_attempt(node, q, leaf, target, false))
 			continue;
@@ -1068,7 +736,7 @@
 
 	/* A hedge can straggle too; the next may go to a replica once more. */
 	struct fleet_target *target =
-		choose_replica(node, q, leaf, !last->hedge);
+		replica_choose(node, q, leaf, !last->hedge);
 
 	if (!target)
 		return true;
--- a/gate.h
+++ b/gate.h
@@ -129,7 +129,6 @@
 		 const struct msg *msg);
 void gate_fetched(struct node *node, uint64_t number,
 		  const struct fetched *fetched);
-void gate_timer(struct node *node, uint64_t key);
 void gate_job_timer(struct node *node, uint64_t number);
 /** gate_origin_lost() - a front is gone: drop what it waits for. */
 void gate_origin_lost(struct node *node, uint64_t origin, uint64_t incarnation);
@@ -137,6 +136,8 @@
 void gate_resume(struct node *node);
 /** gate_listed() - target in service by the current documents, or NULL. */
 const struct target *gate_listed(const struct node *node, uint64_t key);
-/** gate_json() - append an array with the targets that this node owns. */
-void gate_json(const struct node *node, struct buf *out);
+/** gate_knows() - the target is listed or has jobs here. */
+bool gate_knows(const struct node *node, uint64_t key);
+/** gate_refuse_all() - refuse all that is queued for @target. */
+void gate_refuse_all(struct node *node, struct target *target, int status);
 size_t gate_open(const struct node *node);
--- a/node.c
+++ b/node.c
@@ -5,6 +5,7 @@
 #include "conf.h"
 #include "front.h"
 #include "gate.h"
+#include "health.h"
 #include "member.h"
 #include "once.h"
 #include "quota.h"
@@ -364,7 +365,7 @@
 		quota_timer(node, timer->id);
 		break;
 	case TIMER_TARGET:
-		gate_timer(node, timer->id);
+		health_timer(node, timer->id);
 		break;
 	case TIMER_JOB:
 		gate_job_timer(node, timer->id);
--- /dev/null
+++ b/replica.c
@@ -0,0 +1,167 @@
+#include "replica.h"
+
+#include <stdlib.h>
+
+#include "gate.h"
+#include "latency.h"
+#include "xmalloc.h"
+
+enum {
+	AVOID_US = 200000,
+	LACKS_US = 2000000,
+	EWMA_SHIFT = 3,
+	FIRST_US = 2000,
+	FAR_PENALTY = 16,
+};
+
+struct replica *replica_get(struct node *node, uint64_t key)
+{
+	struct front *front = node->front;
+	struct replica *replica =
+		apr_hash_get(front->targets, &key, sizeof(key));
+
+	if (!replica) {
+		replica = xcalloc(1, sizeof(*replica));
+		replica->key = key;
+		replica->latency_us = FIRST_US;
+		replica->epoch = UINT64_MAX;
+		apr_hash_set(front->targets, &replica->key,
+			     sizeof(replica->key), replica);
+	}
+	return replica;
+}
+
+struct vm *replica_gate(struct node *node, struct replica *replica,
+			const struct fleet_target *target)
+{
+	if (node->opt.direct)
+		return node->member->vms[0];
+	if (replica->epoch != node->member->epoch) {
+		replica->gate =
+			member_owner(node, target->key, target->domain->name);
+		replica->epoch = node->member->epoch;
+	}
+	return replica->gate;
+}
+
+static bool has_version(struct node *node, const struct fleet_target *target,
+			uint64_t version)
+{
+	const struct replica *replica = replica_get(node, target->key);
+
+	return replica->lacks_version != version ||
+	       node->now >= replica->lacks_until;
+}
+
+bool replica_usable(struct node *node, const struct fleet_target *target,
+		    uint64_t version)
+{
+	return gate_listed(node, target->key) &&
+	       has_version(node, target, version);
+}
+
+/* Whether an attempt of @leaf went to @target, and one is still open. */
+static bool was_tried(const struct leaf *leaf,
+		      const struct fleet_target *target, bool *same_domain)
+{
+	bool tried = false;
+
+	*same_domain = false;
+	for (uint32_t i = 0; i < leaf->nattempts; i++) {
+		const struct fleet_target *other = leaf->attempts[i].target;
+
+		if (other == target)
+			tried = true;
+		if (other->domain == target->domain)
+			*same_domain = true;
+	}
+	return tried;
+}
+
+/*
+ * The replica with the least expected time. A failed one goes last, and so
+ * does one in a failure domain that was tried before: what made the first
+ * attempt slow or lost is likely to be shared within the domain.
+ */
+struct fleet_target *replica_choose(struct node *node, const struct question *q,
+				    const struct leaf *leaf, bool fresh_only)
+{
+	struct fleet_target *best = NULL;
+	double best_score = 0;
+
+	for (size_t i = 0; i < leaf->shard->nreplicas; i++) {
+		struct fleet_target *target = leaf->shard->replicas[i];
+		bool same_domain;
+		bool tried = was_tried(leaf, target, &same_domain);
+
+		if (!replica_usable(node, target, q->snapshot->version) ||
+		    (fresh_only && tried))
+			continue;
+
+		const struct replica *replica = replica_get(node, target->key);
+		double score = (double)replica->latency_us *
+			       (1 + replica->outstanding);
+
+		if (tried)
+			score *= (double)FAR_PENALTY * FAR_PENALTY;
+		if (same_domain)
+			score *= FAR_PENALTY;
+		if (node->now < replica->avoid_until)
+			score *= FAR_PENALTY;
+		if (best && score >= best_score)
+			continue;
+		best = target;
+		best_score = score;
+	}
+	return best;
+}
+
+/* Targets are replaced day by day; their records must not pile up. */
+void replica_forget(struct node *node)
+{
+	apr_hash_t *targets = node->front->targets;
+
+	for (apr_hash_index_t *it = apr_hash_first(NULL, targets); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+
+		apr_hash_this(it, NULL, NULL, &value);
+
+		struct replica *replica = value;
+
+		if (replica->outstanding || gate_knows(node, replica->key))
+			continue;
+		apr_hash_set(targets, &replica->key, sizeof(replica->key),
+			     NULL);
+		free(replica);
+	}
+}
+
+void replica_answered(struct node *node, const struct attempt *attempt)
+{
+	struct replica *replica = replica_get(node, attempt->target->key);
+	int64_t took = node->now - attempt->sent_at;
+
+	replica->latency_us += (took - replica->latency_us) >> EWMA_SHIFT;
+	if (replica->latency_us < 1)
+		replica->latency_us = 1;
+	latency_add(node->front->latency, took);
+}
+
+void replica_failed(struct node *node, const struct question *q,
+		    const struct attempt *attempt, int status)
+{
+	struct replica *replica = replica_get(node, attempt->target->key);
+
+	if (status == ERR_WRONG_VERSION) {
+		replica->lacks_version = q->snapshot->version;
+		replica->lacks_until = node->now + LACKS_US;
+		node->counters[CNT_LEAF_WRONG_VERSION]++;
+	} else if (status == ERR_NOT_OWNER || status == ERR_GATE_LOST) {
+		replica->epoch = UINT64_MAX;
+	} else {
+		replica->avoid_until = node->now + AVOID_US;
+	}
+	if (status == ERR_MALFORMED)
+		node->counters[CNT_LEAF_MALFORMED]++;
+}
--- /dev/null
+++ b/replica.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "front.h"
+
+/**
+ * DOC: replicas as a front sees them
+ *
+ * What a front learns of each target from its own leaf requests, and which
+ * replica of a shard it asks next.
+ */
+
+/**
+ * struct replica - what this front knows of a target from its own requests
+ * @latency_us: smoothed time from sending to reply
+ * @outstanding: leaf requests under way
+ * @avoid_until: after a failure
+ * @lacks_version, @lacks_until: snapshot that it did not have
+ * @gate, @epoch: its gate in the current view
+ */
+struct replica {
+	uint64_t key;
+	int64_t latency_us;
+	int outstanding;
+	int64_t avoid_until;
+	uint64_t lacks_version;
+	int64_t lacks_until;
+	struct vm *gate;
+	uint64_t epoch;
+};
+
+struct replica *replica_get(struct node *node, uint64_t key);
+/** replica_gate() - gate of @target in the current view, NULL if none. */
+struct vm *replica_gate(struct node *node, struct replica *replica,
+			const struct fleet_target *target);
+/** replica_usable() - in service, and has the snapshot for all we know. */
+bool replica_usable(struct node *node, const struct fleet_target *target,
+		    uint64_t version);
+/** replica_choose() - replica to ask next; @fresh_only: one that was not. */
+struct fleet_target *replica_choose(struct node *node, const struct question *q,
+				    const struct leaf *leaf, bool fresh_only);
+/** replica_forget() - drop what is known of targets that are gone. */
+void replica_forget(struct node *node);
+void replica_answered(struct node *node, const struct attempt *attempt);
+void replica_failed(struct node *node, const struct question *q,
+		    const struct attempt *attempt, int status);
--- a/status.c
+++ b/status.c
@@ -8,6 +8,57 @@
 
 static const char *const states[] = { "starting", "live", "leaving" };
 
+static const char *target_state(const struct target *target)
+{
+	if (target->domain_out)
+		return "domain_out";
+	if (target->listed_leaving || target->draining)
+		return "leaving";
+	if (target->down)
+		return "down";
+	return target->limit < target->slots ? "cold" : "warm";
+}
+
+static void target_json(const struct target *target, struct buf *out)
+{
+	buf_str_add(out, STR("{\"target\":"));
+	buf_json_add(out, target->name);
+	buf_str_add(out, STR(",\"domain\":"));
+	buf_json_add(out, target->domain);
+	buf_printf(out, ",\"state\":\"%s\",\"limit\":%d,\"slots\":%d",
+		   target_state(target), target->limit, target->slots);
+	buf_printf(out, ",\"busy\":%d,\"queued\":%zu,\"requests\":%llu",
+		   target->busy, target->queued,
+		   (unsigned long long)target->requests);
+	buf_printf(out, ",\"refused\":%llu,\"cold_starts\":%llu}",
+		   (unsigned long long)target->refused,
+		   (unsigned long long)target->cold);
+}
+
+static void gate_json(const struct node *node, struct buf *out)
+{
+	apr_hash_index_t *it;
+	bool first = true;
+
+	buf_add(out, "[", 1);
+	for (it = apr_hash_first(NULL, node->gate->targets); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+
+		apr_hash_this(it, NULL, NULL, &value);
+
+		const struct target *target = value;
+
+		if (!target->owned)
+			continue;
+		if (!first)
+			buf_add(out, ",", 1);
+		first = false;
+		target_json(target, out);
+	}
+	buf_add(out, "]", 1);
+}
+
 static void vm_json(const struct node *node, const struct vm *vm,
 		    struct buf *out)
 {
--- a/tests/check_fetch.c
+++ b/tests/check_fetch.c
@@ -6,11 +6,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <apr_general.h>
 #include <check.h>
 #include <curl/curl.h>
 
 #include "../fetch.h"
+#include "suite.h"
 
 enum {
 	ROUNDS = 2000
@@ -170,22 +170,14 @@
 }
 END_TEST
 
-int main(void)
+static void add_tests(TCase *tcase)
 {
-	Suite *suite = suite_create("fetch");
-	TCase *tcase = tcase_create("fetch");
-	SRunner *runner;
-	int failed;
-
-	apr_initialize();
-	curl_global_init(CURL_GLOBAL_DEFAULT);
-	tcase_set_timeout(tcase, 60);
 	tcase_add_loop_test(tcase, test_resend, 0, 2);
 	tcase_add_test(tcase, test_refused);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+}
+
+int main(void)
+{
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	return suite_run("fetch", add_tests);
 }
--- a/tests/check_input.c
+++ b/tests/check_input.c
@@ -6,7 +6,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include <apr_general.h>
 #include <check.h>
 
 #include "../ask.h"
@@ -18,6 +17,7 @@
 #include "../timer.h"
 #include "../wire.h"
 #include "mesh.h"
+#include "suite.h"
 
 /** struct input - a text, and what its error must name (NULL: accepted) */
 struct input {
@@ -407,15 +407,8 @@
 #define LOOP(test, table) \
 	tcase_add_loop_test(tcase, test, 0, sizeof(table) / sizeof(*(table)))
 
-int main(void)
+static void add_tests(TCase *tcase)
 {
-	Suite *suite = suite_create("input");
-	TCase *tcase = tcase_create("input");
-	SRunner *runner;
-	int failed;
-
-	apr_initialize();
-	tcase_set_timeout(tcase, 120);
 	LOOP(test_settings, settings);
 	LOOP(test_lists, lists);
 	LOOP(test_fleet, fleets);
@@ -427,10 +420,9 @@
 	tcase_add_loop_test(tcase, test_timers, 0, 10);
 	tcase_add_loop_test(tcase, test_latency, 0, 5);
 	tcase_add_test(tcase, test_rng);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+}
+
+int main(void)
+{
+	return suite_run("input", add_tests);
 }
--- a/tests/check_points.c
+++ b/tests/check_points.c
@@ -6,11 +6,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include <apr_general.h>
 #include <check.h>
 #include <jansson.h>
 
 #include "mesh.h"
+#include "suite.h"
 
 #include "../front.h"
 #include "../gate.h"
@@ -890,22 +890,14 @@
 }
 END_TEST
 
-int main(void)
+static void add_tests(TCase *tcase)
 {
-	Suite *suite = suite_create("points");
-	TCase *tcase = tcase_create("points");
-	SRunner *runner;
-	int failed;
-
-	apr_initialize();
-	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, test_case, 0, CASES);
 	tcase_add_test(tcase, test_grant_off);
 	tcase_add_test(tcase, test_replay);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+}
+
+int main(void)
+{
+	return suite_run("points", add_tests);
 }
--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -14,6 +14,7 @@
 #include <jansson.h>
 
 #include "mesh.h"
+#include "rows.h"
 
 #include "../xmalloc.h"
 
@@ -333,53 +334,24 @@
 	mesh_run(mesh, HEAL_US);
 }
 
-/* Rows must be of one snapshot and of this question, each shard once, and the
- * reported coverage must be what they are of the whole map (weights are 1). */
 static void check_answer(struct fuzz *f, size_t id)
 {
 	struct mesh_answer *answer = &f->mesh->answers[id];
 	json_t *doc = json_loadb(answer->body.ptr ? answer->body.ptr : "",
 				 answer->body.len, 0, NULL);
-	json_t *rows = json_object_get(doc, "rows");
 	size_t missing = json_array_size(json_object_get(doc, "missing"));
-	double coverage = json_number_value(json_object_get(doc, "coverage"));
-	json_int_t snapshot =
-		json_integer_value(json_object_get(doc, "snapshot"));
-	json_t *seen = json_object();
+	size_t rows = json_array_size(json_object_get(doc, "rows"));
+	const char *fault;
 	char terms[32];
-	json_t *row;
-	size_t i;
 
 	snprintf(terms, sizeof(terms), "q%zu", id);
-	json_array_foreach(rows, i, row)
-	{
-		const char *text =
-			json_string_value(json_object_get(row, "terms"));
-		char shard[24];
-
-		snprintf(shard, sizeof(shard), "%lld",
-			 (long long)json_integer_value(
-				 json_object_get(row, "shard")));
-		if (!text || strcmp(text, terms))
-			fail(f, "rows of another question", id);
-		if (json_integer_value(json_object_get(row, "version")) !=
-		    snapshot)
-			fail(f, "rows of two snapshots", id);
-		if (json_object_get(seen, shard))
-			fail(f, "a shard counted twice", id);
-		json_object_set_new(seen, shard, json_true());
-	}
-	if (rows) {
-		double n = (double)json_array_size(rows);
-		double truth = n / (n + (double)missing);
-
-		if (coverage > truth + 1e-9 || coverage < truth - 2e-6)
-			fail(f, "coverage is not what was merged", id);
-		if (n + (double)missing != TARGETS &&
-		    n + (double)missing != 2 * TARGETS)
+	if (json_object_get(doc, "rows")) {
+		fault = rows_fault(doc, terms);
+		if (fault)
+			fail(f, fault, id);
+		if (rows + missing != TARGETS && rows + missing != 2 * TARGETS)
 			fail(f, "the map of the question is not whole", id);
 	}
-	json_decref(seen);
 	json_decref(doc);
 }
 
--- /dev/null
+++ b/tests/rows.c
@@ -0,0 +1,53 @@
+#include "rows.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define ROUNDING 2e-6
+
+static const char *row_fault(json_t *row, json_t *seen, json_int_t snapshot,
+			     const char *terms)
+{
+	const char *text = json_string_value(json_object_get(row, "terms"));
+	char shard[24];
+
+	snprintf(shard, sizeof(shard), "%lld",
+		 (long long)json_integer_value(json_object_get(row, "shard")));
+	if (!text || strcmp(text, terms))
+		return "rows of another question";
+	if (json_integer_value(json_object_get(row, "version")) != snapshot)
+		return "rows of two snapshots";
+	if (json_object_get(seen, shard))
+		return "a shard counted twice";
+	json_object_set_new(seen, shard, json_true());
+	return NULL;
+}
+
+const char *rows_fault(json_t *doc, const char *terms)
+{
+	json_t *rows = json_object_get(doc, "rows");
+	double count = (double)json_array_size(rows);
+	double all = count +
+		     (double)json_array_size(json_object_get(doc, "missing"));
+	json_int_t snapshot =
+		json_integer_value(json_object_get(doc, "snapshot"));
+	double coverage = json_number_value(json_object_get(doc, "coverage"));
+	json_t *seen = json_object();
+	const char *fault = NULL;
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(rows, i, row)
+	{
+		if (!fault)
+			fault = row_fault(row, seen, snapshot, terms);
+	}
+	json_decref(seen);
+	if (fault)
+		return fault;
+	if (all < 1)
+		return "an answer about no shard";
+	if (coverage > count / all || coverage < count / all - ROUNDING)
+		return "coverage is not what was merged";
+	return NULL;
+}
--- /dev/null
+++ b/tests/suite.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <apr_general.h>
+#include <check.h>
+
+enum {
+	SUITE_SECONDS = 120
+};
+
+/** suite_run() - run one case of tests; returns main()'s exit code. */
+static inline int suite_run(const char *name, void (*add)(TCase *tcase))
+{
+	Suite *suite = suite_create(name);
+	TCase *tcase = tcase_create(name);
+	SRunner *runner;
+	int failed;
+
+	apr_initialize();
+	tcase_set_timeout(tcase, SUITE_SECONDS);
+	add(tcase);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
