Gates are handed over: a cold target keeps one request, a warm one its slots

Cause: when a gate moved as planned (a stop, a new VM), the old gate could have a request at a cold target while the new one sent its first: two where it bears one. And the new gate knew nothing of a warm target, which got one request at a time for 2 s. Now the old gate says what it knew once it has nothing there any more, and the new one waits for that for up to 250 ms, if the old one is still heard. Ruled out as a way: waiting a fixed time (costs every move the longest).

--- a/doc.c
+++ b/doc.c
@@ -156,7 +156,7 @@
 		apr_pool_create(&pool, NULL);
 		lists = apr_pcalloc(pool, sizeof(*lists));
 		lists->pool = pool;
-		lists->customers = apr_hash_make(pool);
+		lists->customers = hash_make(pool);
 		lists->hash = str_hash(body);
 		json_keys(&in, "top", doc, keys);
 		lists->version = (uint64_t)json_int(&in, "top", doc, "version",
@@ -276,7 +276,7 @@
 					    NULL };
 	json_t *list = json_list(in, "vms", doc, "vms", MAX_VMS);
 	size_t count = list ? json_array_size(list) : 0;
-	apr_hash_t *seen = apr_hash_make(fleet->pool);
+	apr_hash_t *seen = hash_make(fleet->pool);
 
 	fleet->vms =
 		apr_pcalloc(fleet->pool, (count + 1) * sizeof(struct fleet_vm));
@@ -304,7 +304,7 @@
 					    NULL };
 	json_t *list = json_list(in, "targets", doc, "targets", MAX_TARGETS);
 	size_t count = list ? json_array_size(list) : 0;
-	apr_hash_t *addrs = apr_hash_make(fleet->pool);
+	apr_hash_t *addrs = hash_make(fleet->pool);
 
 	fleet->targets = apr_pcalloc(fleet->pool,
 				     (count + 1) * sizeof(struct fleet_target));
@@ -379,7 +379,7 @@
 static void check_map(struct json_in *in, const char *place,
 		      struct snapshot *snap, apr_pool_t *pool)
 {
-	apr_hash_t *ids = apr_hash_make(pool);
+	apr_hash_t *ids = hash_make(pool);
 
 	qsort(snap->shards, snap->nshards, sizeof(struct shard), shard_order);
 	for (size_t i = 0; i < snap->nshards && !in->err.code; i++) {
@@ -482,7 +482,7 @@
 		fleet->refs = 1;
 		fleet->hash = str_hash(body);
 
-		apr_hash_t *names = apr_hash_make(pool);
+		apr_hash_t *names = hash_make(pool);
 
 		json_keys(&in, "top", doc, keys);
 		fleet->version = (uint64_t)json_int(&in, "top", doc, "version",
--- a/front.c
+++ b/front.c
@@ -40,9 +40,9 @@
 
 	node->front = front;
 	apr_pool_create(&front->pool, node->pool);
-	front->questions = apr_hash_make(front->pool);
-	front->callers = apr_hash_make(front->pool);
-	front->targets = apr_hash_make(front->pool);
+	front->questions = hash_make(front->pool);
+	front->callers = hash_make(front->pool);
+	front->targets = hash_make(front->pool);
 	front->latency = xcalloc(1, sizeof(*front->latency));
 	front->limit = node->opt.max_open;
 	front->budget = BUDGET_START;
--- a/gate.c
+++ b/gate.c
@@ -13,6 +13,8 @@
 	GRACE_US = 2000000,
 	IDLE_US = 45000,
 	TOMBSTONE_US = 10000000,
+	HANDOVER_WAIT_US = 250000,
+	HANDOVER_FRESH_US = 1000000,
 	ENTRY_RETRY_US = 1000000,
 };
 
@@ -42,9 +44,9 @@
 
 	node->gate = gate;
 	apr_pool_create(&gate->pool, node->pool);
-	gate->targets = apr_hash_make(gate->pool);
-	gate->numbers = apr_hash_make(gate->pool);
-	gate->keys = apr_hash_make(gate->pool);
+	gate->targets = hash_make(gate->pool);
+	gate->numbers = hash_make(gate->pool);
+	gate->keys = hash_make(gate->pool);
 }
 
 static void job_free(struct node *node, struct job *job)
@@ -297,6 +299,8 @@
 	/* After a pause nothing starts on the old view; gate_resume() pumps. */
 	if (!member_view_ok(node) && !node->opt.off.no_pause_check)
 		return;
+	if (node->now < target->wait_until)
+		return;
 	while (target->head && target->busy < health_limit(target)) {
 		struct job *job = pop(target);
 
@@ -309,9 +313,31 @@
 	}
 }
 
+/* To the next gate, once this one has nothing at the target any more. */
+static void hand_over(struct node *node, struct target *target)
+{
+	struct vm *owner;
+	struct msg msg = {
+		.kind = MSG_HANDOVER,
+		.target = target->key,
+		.amount = target->limit,
+		.service_us = target->baseline_us,
+		.wait_us = target->hold_us,
+		.hash = target->boot,
+	};
+
+	if (!target->owes || target->owned || target->busy)
+		return;
+	target->owes = false;
+	owner = member_owner(node, target->key, target->domain);
+	if (owner && owner->key != node->key)
+		node_send(node, owner->addr, owner->incarnation, &msg);
+}
+
 static void release_slot(struct node *node, struct target *target)
 {
 	target->busy--;
+	hand_over(node, target);
 	pump(node, target);
 }
 
@@ -653,6 +679,83 @@
 
 /* Ownership. */
 
+/* What is known of a warm target stays known when its gate moves. */
+static void take_over(struct node *node, struct target *target)
+{
+	const struct handover *handed = &target->handed;
+
+	target->limit =
+		handed->limit > target->slots ? target->slots : handed->limit;
+	if (target->limit < FLOOR)
+		target->limit = FLOOR;
+	target->baseline_us = handed->baseline_us;
+	target->boot = handed->boot;
+	if (handed->hold_us >= HOLD_MIN_US)
+		target->hold_us = handed->hold_us;
+	target->step_at = node->now;
+	target->wait_until = 0;
+}
+
+/*
+ * The gate before may have requests in progress. A cold target would get this
+ * gate's first one beside them. So the next gate waits for its word, for a
+ * while, if that node is still heard.
+ */
+static bool gate_before(const struct node *node, const struct target *target)
+{
+	const struct vm *vm;
+
+	if (node->opt.direct || target->owner == node->key)
+		return false;
+	if (target->owner) {
+		vm = member_find(node, target->owner);
+		return vm && member_hears(node, vm);
+	}
+	/* This node has just joined: somebody else was the gate. */
+	return member_count(node) > 1;
+}
+
+static void await_handover(struct node *node, struct target *target)
+{
+	target->wait_until = node->now + HANDOVER_WAIT_US;
+	timer_add(&node->timers, target->wait_until, TIMER_HANDOVER,
+		  target->key);
+}
+
+void gate_handover_timer(struct node *node, uint64_t key)
+{
+	struct target *target =
+		apr_hash_get(node->gate->targets, &key, sizeof(key));
+
+	if (target && target->owned)
+		pump(node, target);
+}
+
+void gate_handover(struct node *node, struct str from, uint64_t incarnation,
+		   const struct msg *msg)
+{
+	uint64_t key = msg->target;
+	struct target *target =
+		apr_hash_get(node->gate->targets, &key, sizeof(key));
+
+	(void)from;
+	(void)incarnation;
+	if (!target || msg->amount < FLOOR || msg->amount > target->slots ||
+	    msg->service_us < 0)
+		return;
+	target->handed = (struct handover){
+		.at = node->now,
+		.limit = (int)msg->amount,
+		.baseline_us = msg->service_us,
+		.hold_us = msg->wait_us,
+		.boot = msg->hash,
+	};
+	if (!target->owned || node->now >= target->wait_until)
+		return;
+	take_over(node, target);
+	pump(node, target);
+}
+
 static void gain(struct node *node, struct target *target)
 {
 	target->owned = true;
@@ -675,14 +778,23 @@
 	 */
 	target->limit = node->opt.off.no_ramp ? target->slots : FLOOR;
 	target->step_at = node->now;
+	target->owes = false;
+	target->wait_until = 0;
 	node->counters[CNT_GATES_GAINED]++;
+	if (target->handed.at &&
+	    node->now - target->handed.at < HANDOVER_FRESH_US)
+		take_over(node, target);
+	else if (gate_before(node, target))
+		await_handover(node, target);
 }
 
 static void lose(struct node *node, struct target *target)
 {
 	target->owned = false;
+	target->owes = true;
 	node->counters[CNT_GATES_LOST]++;
 	gate_refuse_all(node, target, ERR_NOT_OWNER);
+	hand_over(node, target);
 }
 
 static void review_owner(struct node *node, struct target *target)
@@ -698,6 +810,7 @@
 		gain(node, target);
 	else if (!own && target->owned)
 		lose(node, target);
+	target->owner = owner ? owner->key : 0;
 }
 
 static struct target *target_get(struct node *node,
--- a/gate.h
+++ b/gate.h
@@ -49,9 +49,21 @@
 	bool replied;
 };
 
+/** struct handover - what the gate before knew of a target, @at a time */
+struct handover {
+	int64_t at;
+	int limit;
+	int64_t baseline_us;
+	int64_t hold_us;
+	uint64_t boot;
+};
+
 /**
  * struct target - a target as its gate sees it
- * @owned: this node is its gate
+ * @owned: this node is its gate; @owner: its gate at the last review
+ * @owes: a handover to the next gate, once no job is in progress
+ * @wait_until: no start before, unless the gate before has handed over
+ * @handed: the last handover
  * @limit: requests that may be in progress, 1 to slots
  * @busy: slots taken, by running and granted jobs
  * @foreign: requests of others that the target reported
@@ -79,6 +91,10 @@
 	bool listed_leaving;
 	bool domain_out;
 	bool owned;
+	uint64_t owner;
+	bool owes;
+	int64_t wait_until;
+	struct handover handed;
 	int limit;
 	int busy;
 	int foreign;
@@ -127,6 +143,10 @@
 /** gate_cancel() - CANCEL of a leaf request or RELEASE of a reservation. */
 void gate_cancel(struct node *node, struct str from, uint64_t incarnation,
 		 const struct msg *msg);
+/** gate_handover() - the gate before this one is done with a target. */
+void gate_handover(struct node *node, struct str from, uint64_t incarnation,
+		   const struct msg *msg);
+void gate_handover_timer(struct node *node, uint64_t key);
 void gate_fetched(struct node *node, uint64_t number,
 		  const struct fetched *fetched);
 void gate_job_timer(struct node *node, uint64_t number);
--- a/member.c
+++ b/member.c
@@ -62,7 +62,7 @@
 	return vm ? vm : vm_add(node, addr);
 }
 
-static bool is_heard(const struct node *node, const struct vm *vm)
+bool member_hears(const struct node *node, const struct vm *vm)
 {
 	return vm == node->member->vms[0] ||
 	       (vm->heard_at != INT64_MIN &&
@@ -71,7 +71,7 @@
 
 bool member_usable(const struct node *node, const struct vm *vm)
 {
-	return is_heard(node, vm) && vm->state == VM_LIVE &&
+	return member_hears(node, vm) && vm->state == VM_LIVE &&
 	       !vm->listed_leaving && !vm->domain_out;
 }
 
@@ -135,7 +135,7 @@
 
 	node->member = member;
 	apr_pool_create(&member->pool, node->pool);
-	member->by_key = apr_hash_make(member->pool);
+	member->by_key = hash_make(member->pool);
 	member->view_ok = true;
 	member->fresh_at = INT64_MIN;
 	member->paused_at = INT64_MIN;
@@ -211,7 +211,7 @@
 	for (size_t i = member->count; i-- > 1;) {
 		struct vm *vm = member->vms[i];
 
-		if (vm->listed || is_seed(node, vm) || is_heard(node, vm) ||
+		if (vm->listed || is_seed(node, vm) || member_hears(node, vm) ||
 		    node->now - vm->known_at < FORGET_US)
 			continue;
 		apr_hash_set(member->by_key, &vm->key, sizeof(vm->key), NULL);
@@ -243,7 +243,7 @@
 	for (size_t i = 1; i < node->member->count; i++) {
 		struct vm *vm = node->member->vms[i];
 
-		if (vm->heard_at == INT64_MIN || is_heard(node, vm))
+		if (vm->heard_at == INT64_MIN || member_hears(node, vm))
 			continue;
 		vm_gone(node, vm);
 		changed = true;
@@ -269,10 +269,10 @@
 	for (size_t i = 1; i < node->member->count; i++) {
 		const struct vm *vm = node->member->vms[i];
 
-		if (vm->departed || (!vm->listed && !is_heard(node, vm)))
+		if (vm->departed || (!vm->listed && !member_hears(node, vm)))
 			continue;
 		known++;
-		if (is_heard(node, vm))
+		if (member_hears(node, vm))
 			heard++;
 	}
 	return heard * 2 < known;
--- a/member.h
+++ b/member.h
@@ -86,6 +86,8 @@
 /** member_isolated() - cut off: a change may have passed this node by. */
 bool member_isolated(const struct node *node);
 struct vm *member_find(const struct node *node, uint64_t key);
+/** member_hears() - its heartbeats are fresh, whatever its state. */
+bool member_hears(const struct node *node, const struct vm *vm);
 bool member_usable(const struct node *node, const struct vm *vm);
 /** member_owner() - VM with the highest rendezvous weight for @key, among
  *  those of @domain when any is usable; NULL when none is. */
--- a/msg.h
+++ b/msg.h
@@ -13,6 +13,8 @@
  * of a question between front and gate. RESERVE, GRANT, GO and GO_REPLY are
  * the two steps of an entry; RELEASE gives a reservation back. FORWARD brings
  * an entry to the issuer of its ticket. LEASE asks for a customer's tokens.
+ * HANDOVER tells the next gate of a target what this one knew of it: @amount
+ * is the limit, @service_us the baseline, @wait_us the hold, @hash the boot id.
  */
 enum msg_kind {
 	MSG_NONE,
@@ -32,6 +34,7 @@
 	MSG_FORWARD_REPLY,
 	MSG_LEASE,
 	MSG_LEASE_REPLY,
+	MSG_HANDOVER,
 	MSG_KINDS,
 };
 
--- a/node.c
+++ b/node.c
@@ -273,6 +273,7 @@
 	[MSG_FORWARD_REPLY] = { once_forward_reply },
 	[MSG_LEASE] = { quota_lease },
 	[MSG_LEASE_REPLY] = { on_lease_reply },
+	[MSG_HANDOVER] = { gate_handover },
 };
 
 static void on_msg(struct node *node, struct str from, uint64_t incarnation,
@@ -382,6 +383,9 @@
 	case TIMER_REVIEW:
 		review_due(node);
 		break;
+	case TIMER_HANDOVER:
+		gate_handover_timer(node, timer->id);
+		break;
 	}
 }
 
--- a/once.c
+++ b/once.c
@@ -38,8 +38,8 @@
 
 	node->once = once;
 	apr_pool_create(&once->pool, node->pool);
-	once->records = apr_hash_make(once->pool);
-	once->forwards = apr_hash_make(once->pool);
+	once->records = hash_make(once->pool);
+	once->forwards = hash_make(once->pool);
 	once->secret = rng_next(&node->rng);
 	once->first_seq = node->next_id + 1;
 }
--- a/peer.c
+++ b/peer.c
@@ -352,7 +352,7 @@
 	peers->addr = str_dup(peers->pool, addr);
 	peers->incarnation = incarnation;
 	peers->handler = handler;
-	peers->links = apr_hash_make(peers->pool);
+	peers->links = hash_make(peers->pool);
 	peers->watch = loop_add(loop, peers->fd, APR_POLLIN, on_accept, peers);
 	return peers;
 }
--- a/quota.c
+++ b/quota.c
@@ -65,7 +65,7 @@
 
 	node->quota = quota;
 	apr_pool_create(&quota->pool, node->pool);
-	quota->customers = apr_hash_make(quota->pool);
+	quota->customers = hash_make(quota->pool);
 }
 
 static void account_free(struct account *account)
--- a/serve.c
+++ b/serve.c
@@ -467,7 +467,7 @@
 
 	apr_pool_create(&s.pool, NULL);
 	effects_init(&s.fx, s.pool);
-	s.requests = apr_hash_make(s.pool);
+	s.requests = hash_make(s.pool);
 	s.loop = loop_create(s.pool);
 	s.fetcher = fetcher_create(s.loop, DOC_MAX + ASK_BODY_MAX);
 	code = listen_all(&s, incarnation, &err);
--- a/str.c
+++ b/str.c
@@ -29,6 +29,18 @@
 	return (struct str){ copy, s.len };
 }
 
+static unsigned int hash_bytes(const char *key, apr_ssize_t *len)
+{
+	if (*len == APR_HASH_KEY_STRING)
+		*len = (apr_ssize_t)strlen(key);
+	return (unsigned int)XXH64(key, (size_t)*len, 0);
+}
+
+apr_hash_t *hash_make(apr_pool_t *pool)
+{
+	return apr_hash_make_custom(pool, hash_bytes);
+}
+
 struct str str_keep(struct str s)
 {
 	char *copy = xmalloc(s.len + 1);
--- a/str.h
+++ b/str.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <string.h>
 
+#include <apr_hash.h>
 #include <apr_pools.h>
 
 /**
@@ -51,6 +52,14 @@
 /** str_hash() - 64 bit xxHash of the bytes; never 0, which means "none". */
 uint64_t str_hash(struct str s);
 
+/**
+ * hash_make() - hash table whose order depends on its content alone
+ *
+ * APR seeds its own hash function at random, so two runs over the same events
+ * would walk a table, and send messages, in different orders.
+ */
+apr_hash_t *hash_make(apr_pool_t *pool);
+
 /** str_dup() - copy into @pool, with a terminating NUL for C interfaces. */
 struct str str_dup(apr_pool_t *pool, struct str s);
 
--- a/tests/check_points.c
+++ b/tests/check_points.c
@@ -322,6 +322,35 @@
 	ck_assert_int_eq((int)mesh_target(mesh, "t0")->overruns, 0);
 }
 
+/* 3. Cold start and the gate is stopped as planned (a pair).
+ * The gate has a request at the target when it hands it over. The next gate
+ * waits for its word, so the target never has two; what was warm stays warm. */
+static void cold_start_gate_leaves(struct mesh *mesh)
+{
+	int gate = gate_of(mesh, "t0");
+	uint64_t key = str_hash(STR("t3"));
+
+	mesh->cold_us = 3 * SECOND;
+	load(mesh, 4 * SECOND);
+	mesh_cold(mesh, mesh_target(mesh, "t0"));
+	load(mesh, 500 * MS);
+	mesh_target(mesh, "t0")->service_us = 40 * MS;
+	mesh_target(mesh, "t1")->dead = true; /* so t0 is the only replica */
+	for (int i = 0; i < 60; i++) {
+		if (i == 20)
+			mesh_feed(mesh, gate,
+				  (struct event){ .type = EV_LEAVE });
+		mesh_call(mesh, (gate + 1) % 3, EV_ASK,
+			  "{\"customer\":\"mill\",\"request_id\":\"r\","
+			  "\"indexes\":[\"orders\"],\"shards\":[1]}");
+		mesh_run(mesh, 5 * MS);
+	}
+	ck_assert_int_le(mesh_target(mesh, "t0")->peak_cold, 1);
+	ck_assert_int_eq(
+		gate_listed(mesh->nodes[gate_of(mesh, "t3")].node, key)->limit,
+		2);
+}
+
 /* 4. Domain out, and the platform goes down right after (a pair).
  * Whoever read the list passes it on; nobody needs the platform again. */
 static void domain_out_platform_down(struct mesh *mesh)
@@ -806,6 +835,7 @@
 	{ "cold start", cold_start },
 	{ "cold start, two gates", cold_start_two_gates },
 	{ "cold start, gate killed", cold_start_gate_killed },
+	{ "cold start, gate leaves", cold_start_gate_leaves },
 	{ "domain out, platform down", domain_out_platform_down },
 	{ "domain out, node cut", domain_out_node_cut },
 	{ "domain out, node isolated", domain_out_node_isolated },
--- a/timer.h
+++ b/timer.h
@@ -18,6 +18,7 @@
 	TIMER_FORWARD,
 	TIMER_LEAVE,
 	TIMER_REVIEW,
+	TIMER_HANDOVER,
 };
 
 /**
--- a/wire.c
+++ b/wire.c
@@ -6,10 +6,10 @@
 #include "xmalloc.h"
 
 static const char *const names[MSG_KINDS] = {
-	"none",	 "heartbeat",	"probe",   "doc_get", "doc",
-	"leaf",	 "leaf_reply",	"cancel",  "reserve", "grant",
-	"go",	 "go_reply",	"release", "forward", "forward_reply",
-	"lease", "lease_reply",
+	"none",	 "heartbeat",	"probe",    "doc_get", "doc",
+	"leaf",	 "leaf_reply",	"cancel",   "reserve", "grant",
+	"go",	 "go_reply",	"release",  "forward", "forward_reply",
+	"lease", "lease_reply", "handover",
 };
 
 const char *msg_name(uint32_t kind)
