Bench: ports of its own

Cause: test_entry_not_run_is_true failed once: a benchmark that ran at the same time had its targets on the test's ports (23200). After: benchmarks use 15000 to 17999.

--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -26,7 +26,7 @@
 
 def main():
     seconds = sys.argv[1] if len(sys.argv) > 1 else "5"
-    with World(THIVA, nodes=1, base=24000,
+    with World(THIVA, nodes=1, base=16000,
                targets=["service_us=1000"]) as w:
         pid = w.procs["node0"].pid
 
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -124,7 +124,7 @@
 
 def measure(site, name, number):
     knobs, run = SCENARIOS[name]
-    with World(SITES[site], nodes=NODES, base=23000, targets=knobs) as w:
+    with World(SITES[site], nodes=NODES, base=15000, targets=knobs) as w:
         warm(w)
         before = books(w)
         got = run(w)
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -30,7 +30,7 @@
 def main():
     seconds = int(sys.argv[1]) if len(sys.argv) > 1 else 120
     rate = sys.argv[2] if len(sys.argv) > 2 else "30"
-    with World(THIVA, nodes=3, base=25000) as w:
+    with World(THIVA, nodes=3, base=17000) as w:
         pids = [w.procs[n["name"]].pid for n in w.nodes]
         load = subprocess.Popen(
             [f"{BUILD}/bench/load", ",".join(n["callers"] for n in w.nodes),
