--- a/bench/policy.c
+++ b/bench/policy.c
@@ -3,7 +3,7 @@
  * reducers in virtual time: same seed, same arrivals, no noise of the machine.
  * One JSON line a choice.
  *
- *   policy gates|hedging|admission|ramp|quota|snapshots|soft [SEED]
+ *   policy gates|hedging|admission|ramp|quota|snapshots|soft|moves [SEED]
  */
 #include <math.h>
 #include <stdio.h>
@@ -13,6 +13,7 @@
 #include <jansson.h>
 
 #include "../front.h"
+#include "../member.h"
 #include "../quota.h"
 #include "../tests/mesh.h"
 #include "../xmalloc.h"
@@ -46,6 +47,9 @@
 	bool split; /* quota: 1/n instead of leases */
 	double plan; /* plan's rate, 0 for no limit */
 	int senders; /* nodes that the balancer sends to */
+	bool kill; /* the last node is killed at a third of the time */
+	bool stop; /* it is stopped as planned */
+	bool kill_owner; /* the owner of the customer's bucket is killed */
 };
 
 static uint64_t seed = 1;
@@ -136,6 +140,27 @@
 		mesh->targets[i].lacks = 2;
 }
 
+static int bucket_owner(struct mesh *mesh)
+{
+	struct vm *owner = member_owner(
+		mesh->nodes[0].node, str_hash(STR("mill")), (struct str){ 0 });
+
+	for (int i = 0; i < NODES; i++)
+		if (str_eq(owner->addr, str_of(mesh->nodes[i].addr)))
+			return i;
+	return 0;
+}
+
+static void lose_node(struct mesh *mesh, const struct choice *choice)
+{
+	if (choice->kill)
+		mesh_kill(mesh, NODES - 1);
+	if (choice->stop)
+		mesh_feed(mesh, NODES - 1, (struct event){ .type = EV_LEAVE });
+	if (choice->kill_owner)
+		mesh_kill(mesh, bucket_owner(mesh));
+}
+
 static uint64_t started(const struct mesh *mesh)
 {
 	uint64_t sum = 0;
@@ -223,6 +248,7 @@
 	before = started(mesh);
 	load(mesh, choice, choice->seconds * SECOND / 3);
 	disturb(mesh, choice);
+	lose_node(mesh, choice);
 	load(mesh, choice, choice->seconds * SECOND * 2LL / 3);
 	mesh_run(mesh, SECOND);
 	report(mesh, choice, part, from, before);
@@ -363,6 +389,25 @@
 	  .plan = 30,
 	  .split = true,
 	  .senders = 2 },
+	{ .name = "leases, owner killed",
+	  .rate = 90,
+	  .seconds = 9,
+	  .plan = 30,
+	  .kill_owner = true },
+};
+
+static const struct choice moves[] = {
+	{ .name = "no move", .rate = 120, .seconds = 9, .senders = NODES - 1 },
+	{ .name = "gate killed",
+	  .rate = 120,
+	  .seconds = 9,
+	  .senders = NODES - 1,
+	  .kill = true },
+	{ .name = "gate stopped as planned",
+	  .rate = 120,
+	  .seconds = 9,
+	  .senders = NODES - 1,
+	  .stop = true },
 };
 
 static const struct choice snapshots[] = {
@@ -433,7 +478,7 @@
 	size_t count;
 } parts[] = {
 	PART(gates), PART(hedging),   PART(admission), PART(ramp),
-	PART(quota), PART(snapshots), PART(soft),
+	PART(quota), PART(snapshots), PART(soft),      PART(moves),
 };
 
 int main(int argc, char **argv)
