A target that takes connections and never answers counts as down

Cause: a frozen target lost each slot for the deadline and 2 s, again and again, as its requests timed out one by one; only refused or broken connections made a target count as down. Found by reading; case "target hangs" fails before. After: two such timeouts in a row take it down, it is probed, and starts as cold when it answers.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -19,7 +19,8 @@
 from world import BUILD, THIVA, UUSIMAA, World, wait_for  # noqa: E402
 
 SITES = {"thiva": THIVA, "uusimaa": UUSIMAA}
-NODES, RATE, SECONDS = 6, 30, 8
+NODES, RATE = 6, 30
+SECONDS = float(os.environ.get("SECONDS", "8"))
 SLOW_US = 30000  # service time at which loopback can overload the slots
 COLD_US = 1000000
 
--- a/health.c
+++ b/health.c
@@ -203,8 +203,10 @@
 			set_down(node, target, "it closes without a reply");
 		return;
 	case FETCH_TIMEOUT:
-		if (++target->broken >= BROKEN_STREAK)
-			health_cold(node, target, "it does not answer in time");
+		if (++target->broken < BROKEN_STREAK)
+			return;
+		health_cold(node, target, "it does not answer");
+		set_down(node, target, "it does not answer");
 		return;
 	case FETCH_MALFORMED:
 		return;
--- a/tests/check_points.c
+++ b/tests/check_points.c
@@ -808,6 +808,27 @@
 	ck_assert_int_ge(taken, 4 * 50 * 9 / 10);
 }
 
+/* A target that takes connections and never answers (frozen).
+ * Each of its slots is lost for the deadline and 2 s more. After two such
+ * requests it counts as down and is only probed; coverage holds, and it gets
+ * work again when it answers. */
+static void target_hangs(struct mesh *mesh)
+{
+	uint64_t started;
+
+	load(mesh, 3 * SECOND);
+	mesh_target(mesh, "t0")->hangs = true;
+	load(mesh, 6 * SECOND);
+	started = mesh_target(mesh, "t0")->started;
+	load(mesh, 2 * SECOND);
+	ck_assert(mesh_target(mesh, "t0")->started == started);
+	for (size_t id = mesh->nanswers - 200; id < mesh->nanswers - 50; id++)
+		ck_assert(fabs(number(mesh, id, "coverage") - 1) < 1e-9);
+	mesh_target(mesh, "t0")->hangs = false;
+	load(mesh, 3 * SECOND);
+	ck_assert(mesh_target(mesh, "t0")->started > started);
+}
+
 /* A killed gate: its leaf requests go to the next owner at once. */
 static void gate_killed(struct mesh *mesh)
 {
@@ -860,6 +881,7 @@
 	{ "two publications", two_publications },
 	{ "platform down long", platform_down_long },
 	{ "plan limit", plan_limit },
+	{ "target hangs", target_hangs },
 	{ "gate killed", gate_killed },
 };
 enum {
--- a/tests/mesh.c
+++ b/tests/mesh.c
@@ -47,6 +47,7 @@
 	struct buf terms;
 	struct buf body;
 	uint64_t boot; /* of the target when it was sent */
+	int64_t timeout_at; /* when the shell gives up */
 	bool running;
 	struct fetched got;
 	struct buf rows;
@@ -54,7 +55,8 @@
 
 /* A process that restarts takes no connections for this long. */
 enum {
-	RESTART_US = 50000
+	RESTART_US = 50000,
+	FETCH_GRACE_US = 2000000
 };
 
 static bool earlier(const struct delivery *a, const struct delivery *b)
@@ -303,7 +305,19 @@
 	struct mesh_target *target = work->target;
 	bool cold = mesh->now < target->cold_until;
 
-	if (work->kind == FETCH_CANCEL) {
+	if (target->hangs) {
+		if (work->kind == FETCH_CANCEL) {
+			work_free(mesh, work);
+			return;
+		}
+		work->got.result = FETCH_TIMEOUT;
+		target->started += work->kind != FETCH_HEALTH;
+		push(mesh, (struct delivery){ .at = work->timeout_at,
+					      .kind = DELIVER_REPLY,
+					      .node = work->node,
+					      .incarnation = work->incarnation,
+					      .work = work->number });
+	} else if (work->kind == FETCH_CANCEL) {
 		cancel(mesh, target, work->node, work->job);
 		fill(mesh, target);
 		work_free(mesh, work);
@@ -397,6 +411,8 @@
 	work->kind = fx->fetch;
 	work->target = target;
 	work->boot = target->boot;
+	work->timeout_at = mesh->now + fx->wait_us +
+			   (fx->fetch == FETCH_HEALTH ? 0 : FETCH_GRACE_US);
 	work->shard = fx->shard;
 	work->version = fx->version;
 	buf_str_add(&work->terms, fx->text);
--- a/tests/mesh.h
+++ b/tests/mesh.h
@@ -42,6 +42,7 @@
 	bool draining;
 	bool dead;
 	bool closes; /* reads and closes */
+	bool hangs; /* takes connections and never answers */
 	bool mute; /* runs entries, never answers */
 	uint64_t lacks;
 	uint64_t answers_version; /* 0: what was asked for */
