Somebody looks when the watchers cannot reach the platform

Cause: with both watchers blind, a change waited for the next poll of the rest, 5 s plus or minus half. Case "domain out, watchers cut" fails before (work in the domain more than 3 s after the publication). Now the age of the newest reading, known from heartbeats, makes two nodes a heartbeat look once it is over 2 s. After: passes; a platform that is down gets at most 8 such reads of each document a second from any size of fleet, besides the backed-off ones.

--- a/conf.c
+++ b/conf.c
@@ -9,6 +9,8 @@
 enum {
 	WATCHERS = 2,
 	WATCH_US = 1000000,
+	LOOK_AGE_US = 2000000,
+	LOOKERS = 2,
 	POLL_MIN_US = 5000000,
 	POLL_PER_VM_US = 20000,
 	RETRY_US = 200000,
@@ -106,6 +108,20 @@
 	read_doc(node, DOC_FLEET, 0);
 }
 
+/*
+ * The watchers can be the very nodes that the platform does not answer. The
+ * symptom would be a change that waits for the next poll of the rest. By the
+ * heartbeats everyone knows the age of the newest reading; once it is old, a
+ * few nodes a second look, whatever the size of the fleet.
+ */
+void conf_look(struct node *node, int64_t fresh_age)
+{
+	if (!node->conf->joined || fresh_age < LOOK_AGE_US ||
+	    rng_below(&node->rng, member_count(node)) >= LOOKERS)
+		return;
+	conf_read_now(node);
+}
+
 void conf_init(struct node *node)
 {
 	node->conf = xcalloc(1, sizeof(*node->conf));
--- a/conf.h
+++ b/conf.h
@@ -52,6 +52,8 @@
 void conf_platform_same(struct node *node, enum doc_kind kind);
 void conf_platform_failed(struct node *node, enum doc_kind kind);
 void conf_timer(struct node *node, uint64_t kind);
+/** conf_look() - once a heartbeat: read, by chance, if nobody has of late. */
+void conf_look(struct node *node, int64_t fresh_age);
 /** conf_read_now() - read both documents at once (after a pause). */
 void conf_read_now(struct node *node);
 /** conf_behind() - a peer has a newer document than is in force here. */
--- a/member.c
+++ b/member.c
@@ -297,6 +297,7 @@
 	send_heartbeats(node);
 	sweep(node);
 	note_isolation(node);
+	conf_look(node, fresh_age(node));
 	timer_add(&node->timers, node->now + HEARTBEAT_US, TIMER_HEARTBEAT, 0);
 }
 
--- a/tests/check_points.c
+++ b/tests/check_points.c
@@ -384,6 +384,26 @@
 	ck_assert(!work_since(mesh, 1, since));
 }
 
+/* 4. Domain out while both watchers cannot reach the platform (a pair).
+ * Nobody has read it for a while, by the heartbeats, so the third node looks.
+ */
+static void domain_out_watchers_cut(struct mesh *mesh)
+{
+	struct mesh_layout layout = plain;
+	int64_t since;
+
+	for (int i = 0; i < 3; i++)
+		mesh->nodes[i].no_platform =
+			member_rank(mesh->nodes[i].node, DOC_FLEET + 1) < 2;
+	load(mesh, 2500 * MS);
+	layout.version = 2;
+	layout.out = 1;
+	publish(mesh, layout);
+	since = mesh->now + 3 * SECOND;
+	load(mesh, 6 * SECOND);
+	ck_assert(!work_since(mesh, 1, since));
+}
+
 /* 4. Domain out while one node reaches neither platform nor peers.
  * It cannot know. It refuses as "isolated" instead of going on. */
 static void domain_out_node_isolated(struct mesh *mesh)
@@ -859,6 +879,7 @@
 	{ "cold start, gate leaves", cold_start_gate_leaves },
 	{ "domain out, platform down", domain_out_platform_down },
 	{ "domain out, node cut", domain_out_node_cut },
+	{ "domain out, watchers cut", domain_out_watchers_cut },
 	{ "domain out, node isolated", domain_out_node_isolated },
 	{ "domain out, gate paused", domain_out_gate_paused },
 	{ "domain out, reading aged", domain_out_reading_aged },
