--- a/status.c
+++ b/status.c
@@ -120,12 +120,58 @@
 	buf_add(out, "}", 1);
 }
 
+static void domain_json(const struct node *node, const struct domain *domain,
+			struct buf *out)
+{
+	unsigned long long requests = 0;
+	unsigned long long refused = 0;
+	unsigned long long cold = 0;
+	size_t owned = 0;
+
+	for (apr_hash_index_t *it = apr_hash_first(NULL, node->gate->targets);
+	     it; it = apr_hash_next(it)) {
+		void *value;
+
+		apr_hash_this(it, NULL, NULL, &value);
+
+		const struct target *target = value;
+
+		if (!str_eq(target->domain, domain->name))
+			continue;
+		owned += target->owned;
+		requests += target->requests;
+		refused += target->refused;
+		cold += target->cold;
+	}
+	buf_str_add(out, STR("{\"domain\":"));
+	buf_json_add(out, domain->name);
+	buf_printf(out, ",\"state\":\"%s\",\"targets_owned\":%zu",
+		   domain->out ? "out" : "in", owned);
+	buf_printf(out,
+		   ",\"requests\":%llu,\"refused\":%llu,"
+		   "\"cold_starts\":%llu}",
+		   requests, refused, cold);
+}
+
+static void domains_json(const struct node *node, struct buf *out)
+{
+	buf_add(out, "[", 1);
+	for (size_t i = 0; node->fleet && i < node->fleet->ndomains; i++) {
+		if (i)
+			buf_add(out, ",", 1);
+		domain_json(node, &node->fleet->domains[i], out);
+	}
+	buf_add(out, "]", 1);
+}
+
 void counters_all_json(const struct node *node, struct buf *out)
 {
 	buf_str_add(out, STR("{\"counters\":"));
 	counters_json(node->counters, out);
 	buf_str_add(out, STR(",\"targets\":"));
 	gate_json(node, out);
+	buf_str_add(out, STR(",\"domains\":"));
+	domains_json(node, out);
 	buf_str_add(out, STR(",\"customers\":"));
 	quota_json(node, out);
 	buf_add(out, "}", 1);
--- a/status.h
+++ b/status.h
@@ -4,5 +4,6 @@
 
 /** status_json() - append one JSON object: node, documents, VMs, targets. */
 void status_json(const struct node *node, struct buf *out);
-/** counters_all_json() - append counters, targets and customers. */
+/** counters_all_json() - append counters, by target, failure domain and
+ * customer too. */
 void counters_all_json(const struct node *node, struct buf *out);
--- a/tests/check_points.c
+++ b/tests/check_points.c
@@ -722,6 +722,33 @@
 	}
 }
 
+/* 9. Two of three nodes are stopped at the same moment, with questions open and
+ * an entry under way. All of it is answered, whole and done. */
+static void two_stop_at_once(struct mesh *mesh)
+{
+	char ticket[160];
+	size_t from;
+	size_t entry;
+
+	load(mesh, 3 * SECOND);
+	take_ticket(mesh, 0, ticket, sizeof(ticket));
+	from = mesh->nanswers;
+	for (int i = 0; i < 12; i++)
+		ask(mesh, i % 2);
+	entry = enter(mesh, 1, ticket);
+	mesh_feed(mesh, 0, (struct event){ .type = EV_LEAVE });
+	mesh_feed(mesh, 1, (struct event){ .type = EV_LEAVE });
+	for (int i = 0; i < 300; i++) {
+		ask(mesh, 2);
+		mesh_run(mesh, 10 * MS);
+	}
+	mesh_run(mesh, SECOND);
+	ck_assert(!mesh->nodes[0].up && !mesh->nodes[1].up);
+	ck_assert(says(mesh, entry, "\"done\""));
+	for (size_t id = from; id < mesh->nanswers; id++)
+		ck_assert_int_eq(mesh->answers[id].status, 200);
+}
+
 /* 9. A node that leaves issues no tickets that would outlive it: it asks a
  * peer for one, and the caller does not notice. */
 static void ticket_while_leaving(struct mesh *mesh)
@@ -896,6 +923,7 @@
 	{ "target drains", target_drains },
 	{ "target listed as leaving", target_listed_leaving },
 	{ "rolling stop", rolling_stop },
+	{ "two stop at once", two_stop_at_once },
 	{ "ticket while leaving", ticket_while_leaving },
 	{ "stale platform, new node", stale_platform_new_node },
 	{ "document refused", document_refused },
