An entry waits a moment before its next reservation

Cause: when two nodes stop at once the views of who owns a target differ for a while; an entry spent its three attempts within that and was "not run". After: up to six attempts, 30 ms apart and growing, while the deadline allows; nothing was sent before, so each is safe.

--- a/once.c
+++ b/once.c
@@ -10,7 +10,8 @@
 enum {
 	ENTRY_DEFAULT_US = 2000000,
 	ENTRY_MAX_US = 8000000,
-	ATTEMPTS_MAX = 3,
+	ATTEMPTS_MAX = 6,
+	ATTEMPT_WAIT_US = 30000,
 	RECORDS_MAX = 20000,
 	FORWARD_GRACE_US = 250000,
 	RETRY_US = 500000,
@@ -361,6 +362,19 @@
 	node_send(node, gate->addr, gate->incarnation, &msg);
 }
 
+/*
+ * Nothing was sent, so another attempt is safe. A moment later: when nodes
+ * come or go the views of who owns the target differ for a while, and all of
+ * the attempts would be spent within it.
+ */
+static void reserve_later(struct node *node, struct record *record, int why)
+{
+	record->gate = 0;
+	record->code = why;
+	record->retry_at = node->now + ATTEMPT_WAIT_US * record->attempt;
+	timer_add(&node->timers, record->retry_at, TIMER_RECORD, record->seq);
+}
+
 static bool is_from_gate(const struct record *record, struct str from,
 			 uint64_t incarnation, const struct msg *msg)
 {
@@ -414,7 +428,7 @@
 	if (!record || !is_from_gate(record, from, incarnation, msg))
 		return;
 	if (record->state == RECORD_RESERVE && msg->status && !msg->ran) {
-		reserve(node, record, msg->status);
+		reserve_later(node, record, msg->status);
 		return;
 	}
 	/* A late word can settle an "unknown"; only "done" is beyond doubt. */
@@ -436,7 +450,15 @@
 {
 	struct record *record = record_find(node, seq);
 
-	if (!record || is_final(record) || node->now < record->deadline)
+	if (!record || is_final(record))
+		return;
+	if (record->retry_at && node->now >= record->retry_at &&
+	    node->now < record->deadline) {
+		record->retry_at = 0;
+		reserve(node, record, record->code);
+		return;
+	}
+	if (node->now < record->deadline)
 		return;
 	if (record->state == RECORD_SENT) {
 		conclude(node, record, RECORD_UNKNOWN, ERR_DEADLINE,
@@ -454,7 +476,7 @@
 static void record_gate_lost(struct node *node, struct record *record)
 {
 	if (record->state == RECORD_RESERVE)
-		reserve(node, record, ERR_GATE_LOST);
+		reserve_later(node, record, ERR_GATE_LOST);
 	else if (record->state == RECORD_SENT)
 		conclude(node, record, RECORD_UNKNOWN, ERR_GATE_LOST,
 			 (struct str){ 0 });
--- a/once.h
+++ b/once.h
@@ -38,6 +38,7 @@
  * @seq: number of the ticket
  * @attempt: reservations tried
  * @gate, @gate_incarnation: gate of the current attempt
+ * @retry_at: next reservation, 0 when none waits
  * @code: why it did not run or is unknown
  */
 struct record {
@@ -52,6 +53,7 @@
 	uint64_t gate;
 	uint64_t gate_incarnation;
 	int64_t deadline;
+	int64_t retry_at;
 	int code;
 	int64_t retry_us;
 	struct str result;
