--- a/bench/policy.c
+++ b/bench/policy.c
@@ -81,21 +81,13 @@
 
 static struct mesh *build(const struct choice *choice)
 {
-	struct mesh_layout layout = { .version = 1,
-				      .nodes = NODES,
-				      .domains = DOMAINS,
-				      .targets = TARGETS,
-				      .replicas = 2,
-				      .slots = 2,
-				      .out = -1,
-				      .leaving = -1,
-				      .snapshot = 2 };
+	struct mesh_layout layout = mesh_layout(NODES, DOMAINS, TARGETS);
 	double plan = choice->plan > 0 ? choice->plan : 1e6;
-	char *lists = mesh_lists(1, plan, plan / 5 + 1,
-				 choice->soft_ms ? choice->soft_ms : 400, 400,
-				 choice->floor > 0 ? choice->floor : 1);
-	char *fleet = mesh_fleet(&layout);
-	struct mesh *mesh = mesh_create(NODES, seed, lists, fleet);
+	int soft_ms = choice->soft_ms ? choice->soft_ms : 400;
+	double floor = choice->floor > 0 ? choice->floor : 1;
+	struct mesh *mesh = mesh_create(
+		seed, &layout,
+		mesh_lists(1, plan, plan / 5 + 1, soft_ms, 400, floor));
 
 	mesh->latency_us = 100;
 	mesh->far_us = 1000;
@@ -108,8 +100,6 @@
 		mesh->nodes[i].opt.off.no_ramp = choice->no_ramp;
 	}
 	mesh_start_all(mesh);
-	free(lists);
-	free(fleet);
 	return mesh;
 }
 
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,52 @@
+"""Tables of bench/measure.py's JSON lines, for docs/MEASURES.md.
+
+    python3 bench/report.py FILE...
+"""
+
+import collections
+import json
+import sys
+
+HEAD = ("| scenario | runs | answered | whole | p50 ms | p99 ms | p99.9 ms | "
+        "mean coverage | worst 1% | target requests a leaf | cold falls | "
+        "refused |")
+
+
+def span(values, digits):
+    low, high = min(values), max(values)
+    if f"{low:.{digits}f}" == f"{high:.{digits}f}":
+        return f"{low:.{digits}f}"
+    return f"{low:.{digits}f}..{high:.{digits}f}"
+
+
+def line(scenario, rows):
+    def of(key):
+        return [row[key] for row in rows]
+    refused = sum(sum(row["refused"].values()) for row in rows)
+    cells = [scenario, len(rows), sum(of("answered")), sum(of("complete")),
+             span(of("p50_ms"), 1), span(of("p99_ms"), 1),
+             span(of("p999_ms"), 1), span(of("coverage_mean"), 4),
+             span(of("coverage_p01"), 4),
+             span(of("target_requests_per_leaf"), 3), sum(of("overruns")),
+             refused]
+    return "| " + " | ".join(str(cell) for cell in cells) + " |"
+
+
+def main():
+    groups = collections.OrderedDict()
+    for name in sys.argv[1:]:
+        with open(name, encoding="ascii") as file:
+            for text in file:
+                row = json.loads(text)
+                site = row["site"] + (" " + row["label"] if row["label"]
+                                      else "")
+                groups.setdefault(site, collections.OrderedDict()).setdefault(
+                    row["scenario"], []).append(row)
+    for site, scenarios in groups.items():
+        print(f"## {site}\n\n{HEAD}\n|{' --- |' * HEAD.count('|')}"[:-6])
+        for scenario, rows in scenarios.items():
+            print(line(scenario, rows))
+        print()
+
+
+main()
--- a/tests/check_input.c
+++ b/tests/check_input.c
@@ -307,17 +307,9 @@
 START_TEST(test_frame_damaged)
 {
 	struct rng rng = { .seed = (uint64_t)_i + 100 };
-	struct mesh_layout layout = { .version = 1,
-				      .nodes = 2,
-				      .domains = 2,
-				      .targets = 4,
-				      .replicas = 2,
-				      .slots = 2,
-				      .out = -1,
-				      .leaving = -1 };
-	char *lists = mesh_lists(1, 100, 100, 100, 100, 1);
-	char *fleet = mesh_fleet(&layout);
-	struct mesh *mesh = mesh_create(2, 1, lists, fleet);
+	struct mesh_layout layout = mesh_layout(2, 2, 4);
+	struct mesh *mesh =
+		mesh_create(1, &layout, mesh_lists(1, 100, 100, 100, 100, 1));
 
 	mesh_start_all(mesh);
 	for (int n = 0; n < 300; n++) {
@@ -351,8 +343,6 @@
 	}
 	mesh_run(mesh, 1000000);
 	mesh_destroy(mesh);
-	free(lists);
-	free(fleet);
 }
 END_TEST
 
--- a/tests/check_points.c
+++ b/tests/check_points.c
@@ -23,31 +23,11 @@
 	DOMAINS = 3
 };
 
-static const struct mesh_layout plain = {
-	.version = 1,
-	.nodes = 3,
-	.domains = DOMAINS,
-	.targets = TARGETS,
-	.replicas = 2,
-	.slots = 2,
-	.out = -1,
-	.leaving = -1,
-	.snapshot = 2,
-};
-
 static struct mesh *world(int nodes)
 {
-	struct mesh_layout layout = plain;
-	char *lists = mesh_lists(1, 5000, 5000, 400, 400, 1);
-	struct mesh *mesh;
-	char *fleet;
+	struct mesh_layout layout = mesh_layout(nodes, DOMAINS, TARGETS);
 
-	layout.nodes = nodes;
-	fleet = mesh_fleet(&layout);
-	mesh = mesh_create(nodes, 7, lists, fleet);
-	free(lists);
-	free(fleet);
-	return mesh;
+	return mesh_create(7, &layout, mesh_lists(1, 5000, 5000, 400, 400, 1));
 }
 
 static struct mesh *started(int nodes)
@@ -58,14 +38,28 @@
 	return mesh;
 }
 
-static void publish(struct mesh *mesh, struct mesh_layout layout)
+static struct mesh_layout layout_of(const struct mesh *mesh, uint64_t version)
+{
+	struct mesh_layout layout = mesh_layout(mesh->nnodes, DOMAINS, TARGETS);
+
+	layout.version = version;
+	return layout;
+}
+
+/* Version 2 of the fleet, with one failure domain out. */
+static void take_out(struct mesh *mesh, int domain)
 {
-	layout.nodes = mesh->nnodes;
+	struct mesh_layout layout = layout_of(mesh, 2);
+
+	layout.out = domain;
+	mesh_publish_fleet(mesh, &layout);
+}
 
-	char *fleet = mesh_fleet(&layout);
+static void publish_version(struct mesh *mesh, uint64_t version)
+{
+	struct mesh_layout layout = layout_of(mesh, version);
 
-	mesh_publish(mesh, DOC_FLEET, fleet);
-	free(fleet);
+	mesh_publish_fleet(mesh, &layout);
 }
 
 static size_t ask(struct mesh *mesh, int i)
@@ -198,17 +192,16 @@
  * ends on the map of 2; the next one is on 3. No range counts twice. */
 static void repartition(struct mesh *mesh)
 {
-	struct mesh_layout layout = plain;
+	struct mesh_layout layout = layout_of(mesh, 2);
 	size_t before;
 	size_t after;
 
 	for (size_t i = 0; i < mesh->ntargets; i++)
 		mesh->targets[i].service_us = 100 * MS;
 	before = ask(mesh, 0);
-	layout.version = 2;
 	layout.snapshot = 3;
 	layout.split = true;
-	publish(mesh, layout);
+	mesh_publish_fleet(mesh, &layout);
 	mesh_run(mesh, 3 * SECOND);
 	after = ask(mesh, 0);
 	mesh_run(mesh, SECOND);
@@ -355,12 +348,9 @@
  * Whoever read the list passes it on; nobody needs the platform again. */
 static void domain_out_platform_down(struct mesh *mesh)
 {
-	struct mesh_layout layout = plain;
 	int64_t since;
 
-	layout.version = 2;
-	layout.out = 1;
-	publish(mesh, layout);
+	take_out(mesh, 1);
 	load(mesh, 1500 * MS);
 	mesh->platform_down = true;
 	since = mesh->now + SECOND;
@@ -372,13 +362,10 @@
  * It learns from its peers. */
 static void domain_out_node_cut(struct mesh *mesh)
 {
-	struct mesh_layout layout = plain;
 	int64_t since;
 
 	mesh->nodes[0].no_platform = true;
-	layout.version = 2;
-	layout.out = 1;
-	publish(mesh, layout);
+	take_out(mesh, 1);
 	since = mesh->now + 3 * SECOND;
 	load(mesh, 5 * SECOND);
 	ck_assert(!work_since(mesh, 1, since));
@@ -389,16 +376,13 @@
  */
 static void domain_out_watchers_cut(struct mesh *mesh)
 {
-	struct mesh_layout layout = plain;
 	int64_t since;
 
 	for (int i = 0; i < 3; i++)
 		mesh->nodes[i].no_platform =
 			member_rank(mesh->nodes[i].node, DOC_FLEET + 1) < 2;
 	load(mesh, 2500 * MS);
-	layout.version = 2;
-	layout.out = 1;
-	publish(mesh, layout);
+	take_out(mesh, 1);
 	since = mesh->now + 3 * SECOND;
 	load(mesh, 6 * SECOND);
 	ck_assert(!work_since(mesh, 1, since));
@@ -408,16 +392,13 @@
  * It cannot know. It refuses as "isolated" instead of going on. */
 static void domain_out_node_isolated(struct mesh *mesh)
 {
-	struct mesh_layout layout = plain;
 	int64_t since;
 	size_t id;
 
 	mesh->nodes[0].no_platform = true;
 	mesh_cut(mesh, 0, 1, true);
 	mesh_cut(mesh, 0, 2, true);
-	layout.version = 2;
-	layout.out = 1;
-	publish(mesh, layout);
+	take_out(mesh, 1);
 	since = mesh->now + 4500 * MS;
 	load(mesh, 7 * SECOND);
 	ck_assert(!work_since(mesh, 1, since));
@@ -429,15 +410,12 @@
  * It wakes with requests in its sockets and confirms its view first. */
 static void domain_out_gate_paused(struct mesh *mesh)
 {
-	struct mesh_layout layout = plain;
 	int64_t since;
 
 	load(mesh, SECOND);
 	mesh_pause(mesh, gate_of(mesh, "t1"), 5 * SECOND);
 	load(mesh, 100 * MS);
-	layout.version = 2;
-	layout.out = 1;
-	publish(mesh, layout);
+	take_out(mesh, 1);
 	since = mesh->now + 4 * SECOND;
 	load(mesh, 8 * SECOND);
 	ck_assert(!work_since(mesh, 1, since));
@@ -448,7 +426,6 @@
  * the old view; it counts for nothing. */
 static void domain_out_reading_aged(struct mesh *mesh)
 {
-	struct mesh_layout layout = plain;
 	int64_t since;
 
 	int watcher = 0;
@@ -458,9 +435,7 @@
 	load(mesh, SECOND);
 	mesh_pause(mesh, watcher, 6 * SECOND);
 	load(mesh, 1200 * MS);
-	layout.version = 2;
-	layout.out = watcher; /* node i is in domain i */
-	publish(mesh, layout);
+	take_out(mesh, watcher); /* node i is in domain i */
 	since = mesh->now + 4 * SECOND;
 	load(mesh, 8 * SECOND);
 	ck_assert(!work_since(mesh, watcher, since));
@@ -470,18 +445,12 @@
  * Its targets come back cold, one request at a time, and coverage holds. */
 static void domain_returns(struct mesh *mesh)
 {
-	struct mesh_layout layout = plain;
-
-	layout.version = 2;
-	layout.out = 1;
-	publish(mesh, layout);
+	take_out(mesh, 1);
 	load(mesh, 3 * SECOND);
 	for (size_t i = 1; i < mesh->ntargets; i += DOMAINS)
 		mesh_cold(mesh, &mesh->targets[i]);
 	mesh_run(mesh, 100 * MS);
-	layout.version = 3;
-	layout.out = -1;
-	publish(mesh, layout);
+	publish_version(mesh, 3);
 	load(mesh, 4 * SECOND);
 	for (size_t i = 1; i < mesh->ntargets; i += DOMAINS) {
 		ck_assert(mesh->targets[i].started > 0);
@@ -688,12 +657,11 @@
 /* 8. The list calls a target leaving that does not know it yet. */
 static void target_listed_leaving(struct mesh *mesh)
 {
-	struct mesh_layout layout = plain;
+	struct mesh_layout layout = layout_of(mesh, 2);
 	int64_t since;
 
-	layout.version = 2;
 	layout.leaving = 2;
-	publish(mesh, layout);
+	mesh_publish_fleet(mesh, &layout);
 	since = mesh->now + 2500 * MS;
 	load(mesh, 4 * SECOND);
 	ck_assert(mesh_target(mesh, "t2")->last_start <= since);
@@ -769,10 +737,7 @@
  * It asks its peers first and never puts the old document in force. */
 static void stale_platform_new_node(struct mesh *mesh)
 {
-	struct mesh_layout layout = plain;
-
-	layout.version = 2;
-	publish(mesh, layout);
+	publish_version(mesh, 2);
 	mesh_run(mesh, 2 * SECOND);
 	mesh_kill(mesh, 0);
 	mesh->nodes[0].stale_reader = 1;
@@ -807,14 +772,10 @@
  * All end on the later one. */
 static void two_publications(struct mesh *mesh)
 {
-	struct mesh_layout layout = plain;
-
 	mesh->nodes[1].stale_reader = 1;
-	layout.version = 2;
-	publish(mesh, layout);
+	publish_version(mesh, 2);
 	mesh_run(mesh, 5 * MS);
-	layout.version = 3;
-	publish(mesh, layout);
+	publish_version(mesh, 3);
 	mesh_run(mesh, 4 * SECOND);
 	for (int i = 0; i < 3; i++)
 		ck_assert_int_eq((int)mesh->nodes[i].seen[DOC_FLEET], 3);
--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -201,12 +201,8 @@
 
 static void publish_fleet(struct fuzz *f)
 {
-	char *fleet;
-
 	f->layout.version++;
-	fleet = mesh_fleet(&f->layout);
-	mesh_publish(f->mesh, DOC_FLEET, fleet);
-	free(fleet);
+	mesh_publish_fleet(f->mesh, &f->layout);
 }
 
 static void do_publish(struct fuzz *f)
@@ -540,24 +536,14 @@
 static bool run(uint64_t seed, int steps, char *fault, size_t size)
 {
 	struct fuzz *f = xcalloc(1, sizeof(*f));
-	char *lists;
-	char *fleet;
 	bool held;
 
 	f->rng.seed = seed;
-	f->layout = (struct mesh_layout){ .version = 1,
-					  .nodes = 3 + (int)(seed % 4),
-					  .domains = DOMAINS,
-					  .targets = TARGETS,
-					  .replicas = 2,
-					  .slots = 2,
-					  .out = -1,
-					  .leaving = -1,
-					  .snapshot = 2 };
+	f->layout = mesh_layout(3 + (int)(seed % 4), DOMAINS, TARGETS);
 	f->lists_version = 1;
-	lists = mesh_lists(1, 5000, 5000, DEADLINE_MS, DEADLINE_MS, 1);
-	fleet = mesh_fleet(&f->layout);
-	f->mesh = mesh_create(f->layout.nodes, seed, lists, fleet);
+	f->mesh = mesh_create(
+		seed, &f->layout,
+		mesh_lists(1, 5000, 5000, DEADLINE_MS, DEADLINE_MS, 1));
 	if (turned_off)
 		turn_off(f);
 	mesh_start_all(f->mesh);
@@ -575,8 +561,6 @@
 	held = !*f->fault;
 	snprintf(fault, size, "%s", f->fault);
 	mesh_destroy(f->mesh);
-	free(lists);
-	free(fleet);
 	free(f);
 	return held;
 }
--- a/tests/mesh.c
+++ b/tests/mesh.c
@@ -797,9 +797,10 @@
 	abort();
 }
 
-struct mesh *mesh_create(int nnodes, uint64_t seed, const char *lists,
-			 const char *fleet)
+struct mesh *mesh_create(uint64_t seed, const struct mesh_layout *layout,
+			 char *lists)
 {
+	char *fleet = mesh_fleet(layout);
 	struct mesh *mesh = xcalloc(1, sizeof(*mesh));
 	struct error err;
 
@@ -813,10 +814,12 @@
 	mesh->service_us = 3000;
 	mesh->cold_us = 1000000;
 	mesh->cold_bears = 1;
-	mesh->nnodes = nnodes;
+	mesh->nnodes = layout->nodes;
 	mesh_publish(mesh, DOC_LISTS, lists);
 	mesh_publish(mesh, DOC_FLEET, fleet);
 	mesh->fleet = fleet_parse(str_of(fleet), &err);
+	free(fleet);
+	free(lists);
 	if (!mesh->fleet)
 		abort();
 	mesh->ntargets = mesh->fleet->ntargets;
@@ -825,7 +828,7 @@
 		mesh->targets[i].boot = rng_next(&mesh->rng) | 1;
 		mesh->targets[i].lacks = UINT64_MAX;
 	}
-	for (int i = 0; i < nnodes; i++) {
+	for (int i = 0; i < layout->nodes; i++) {
 		struct mesh_node *node = &mesh->nodes[i];
 
 		snprintf(node->addr, sizeof(node->addr), "127.0.0.1:%d",
@@ -928,6 +931,27 @@
 	return out.ptr;
 }
 
+struct mesh_layout mesh_layout(int nodes, int domains, int targets)
+{
+	return (struct mesh_layout){ .version = 1,
+				     .nodes = nodes,
+				     .domains = domains,
+				     .targets = targets,
+				     .replicas = 2,
+				     .slots = 2,
+				     .out = -1,
+				     .leaving = -1,
+				     .snapshot = 2 };
+}
+
+void mesh_publish_fleet(struct mesh *mesh, const struct mesh_layout *layout)
+{
+	char *fleet = mesh_fleet(layout);
+
+	mesh_publish(mesh, DOC_FLEET, fleet);
+	free(fleet);
+}
+
 char *mesh_lists(uint64_t version, double rate, double burst, int soft_ms,
 		 int deadline_ms, double floor)
 {
--- a/tests/mesh.h
+++ b/tests/mesh.h
@@ -18,6 +18,26 @@
 	MESH_ANSWERS = 200000
 };
 
+/**
+ * struct mesh_layout - a fleet document for tests
+ * @out: failure domain that is taken out, -1 for none
+ * @leaving: target that the list calls leaving, -1 for none
+ * @snapshot: newest of the two versions that it lists; @split: the newer one
+ *            has twice as many shards (repartition)
+ */
+struct mesh_layout {
+	uint64_t version;
+	int nodes;
+	int domains;
+	int targets;
+	int replicas;
+	int slots;
+	int out;
+	int leaving;
+	uint64_t snapshot;
+	bool split;
+};
+
 struct mesh_node {
 	struct node *node;
 	struct effects fx;
@@ -101,8 +121,9 @@
 	struct buf *trace; /* dump of all effects, when set */
 };
 
-struct mesh *mesh_create(int nnodes, uint64_t seed, const char *lists,
-			 const char *fleet);
+/** mesh_create() - nodes and targets of @layout; @lists is freed. */
+struct mesh *mesh_create(uint64_t seed, const struct mesh_layout *layout,
+			 char *lists);
 void mesh_destroy(struct mesh *mesh);
 /** mesh_start() - start node @i, as a new incarnation. */
 void mesh_start(struct mesh *mesh, int i);
@@ -124,27 +145,10 @@
 void mesh_feed(struct mesh *mesh, int i, struct event event);
 void mesh_cold(struct mesh *mesh, struct mesh_target *target);
 
-/**
- * struct mesh_layout - a fleet document for tests
- * @out: failure domain that is taken out, -1 for none
- * @leaving: target that the list calls leaving, -1 for none
- * @snapshot: newest of the two versions that it lists; @split: the newer one
- *            has twice as many shards (repartition)
- */
-struct mesh_layout {
-	uint64_t version;
-	int nodes;
-	int domains;
-	int targets;
-	int replicas;
-	int slots;
-	int out;
-	int leaving;
-	uint64_t snapshot;
-	bool split;
-};
-
+/** mesh_layout() - two replicas a shard, two slots a target, all in. */
+struct mesh_layout mesh_layout(int nodes, int domains, int targets);
 /** mesh_fleet() - the document, on the heap. */
 char *mesh_fleet(const struct mesh_layout *layout);
+void mesh_publish_fleet(struct mesh *mesh, const struct mesh_layout *layout);
 char *mesh_lists(uint64_t version, double rate, double burst, int soft_ms,
 		 int deadline_ms, double floor);
