Bounds on what targets send back

Cause: a target's reply could have 1 MiB, a question 260 of them, and each result of an entry was kept whole for 20,000 records. Found by reading. After: 256 KiB a reply (else malformed), 8 MiB of rows a question (else missing, too_large), 4 KiB of a kept result (else omitted in repeats). Test: large replies; before, a reply of 300,000 bytes was merged.

--- a/fetch.c
+++ b/fetch.c
@@ -161,7 +161,10 @@
 {
 	struct transfer *t = ctx;
 
-	if (t->body.len + size * count > t->fetcher->max_body) {
+	size_t limit = t->request.max_body ? t->request.max_body
+					   : t->fetcher->max_body;
+
+	if (t->body.len + size * count > limit) {
 		t->too_large = true;
 		return 0;
 	}
--- a/fetch.h
+++ b/fetch.h
@@ -30,6 +30,7 @@
  * @post: body of a POST; a GET when its ptr is NULL
  * @remaining_us: told to the receiver, -1 for no such header
  * @timeout_us: the transfer is ended after this time
+ * @max_body: a larger reply is malformed; 0 for the fetcher's own limit
  * @once: never sent twice: fresh connection, no resending
  * @done: called once, unless the fetcher is destroyed before
  */
@@ -38,6 +39,7 @@
 	struct str post;
 	int64_t remaining_us;
 	int64_t timeout_us;
+	size_t max_body;
 	bool once;
 	void (*done)(void *ctx, uint64_t id, const struct fetch_reply *reply);
 	void *ctx;
--- a/front.c
+++ b/front.c
@@ -26,6 +26,7 @@
 	RETRY_AFTER_US = 250000,
 	STARTING_RETRY_US = 1000000,
 	HEDGED_ATTEMPTS = 3,
+	ANSWER_MAX = 8 * 1024 * 1024,
 };
 
 #define LIMIT_CUT 0.9
@@ -635,6 +636,7 @@
 		  const struct attempt *attempt, const struct msg *msg)
 {
 	leaf->rows = str_dup(q->pool, msg->body);
+	q->bytes += msg->body.len;
 	leaf->state = LEAF_MERGED;
 	q->open_leafs--;
 	q->covered += leaf->shard->weight;
@@ -668,12 +670,17 @@
 		status = ERR_WRONG_VERSION;
 	if (!status && (msg->body.len < 2 || msg->body.ptr[0] != '['))
 		status = ERR_MALFORMED;
+	if (!status && q->bytes + msg->body.len > ANSWER_MAX)
+		status = ERR_TOO_LARGE;
 	close_attempt(node, attempt);
 	if (msg->wait_us > q->worst_wait)
 		q->worst_wait = msg->wait_us;
 	if (!status) {
 		replica_answered(node, attempt);
 		merge(node, q, leaf, attempt, msg);
+	} else if (status == ERR_TOO_LARGE) {
+		close_all(node, q, leaf);
+		set_missing(node, q, leaf, status);
 	} else {
 		if (status == ERR_QUEUE_FULL)
 			q->worst_wait = q->plan.soft_us;
--- a/front.h
+++ b/front.h
@@ -67,6 +67,8 @@
  * @open_leafs: leafs in state LEAF_OPEN
  * @base: attempt numbers of this run start here (restart on a new snapshot)
  * @worst_wait: longest time in a gate's queue
+ * @bytes: rows merged so far; bounded, so that one question cannot take the
+ *         memory of all
  */
 struct question {
 	apr_pool_t *pool;
@@ -89,6 +91,7 @@
 	bool restarted;
 	bool soft_passed;
 	int64_t worst_wait;
+	size_t bytes;
 	uint32_t sent;
 	uint32_t hedges;
 };
--- a/once.c
+++ b/once.c
@@ -12,6 +12,7 @@
 	ENTRY_MAX_US = 8000000,
 	ATTEMPTS_MAX = 6,
 	ATTEMPT_WAIT_US = 30000,
+	RESULT_KEPT = 4096,
 	RECORDS_MAX = 20000,
 	FORWARD_GRACE_US = 250000,
 	RETRY_US = 500000,
@@ -278,6 +279,10 @@
 	for (struct waiter *w = record->waiters; w; w = w->next)
 		tell_record(node, record, w);
 	record->waiters = NULL;
+	if (record->result.len > RESULT_KEPT) {
+		str_free(record->result);
+		record->result = str_keep(STR("{\"omitted\":true}"));
+	}
 	record->entry = (struct entry){ 0 };
 	if (record->pool)
 		apr_pool_destroy(record->pool);
--- a/serve.c
+++ b/serve.c
@@ -32,6 +32,7 @@
 
 enum {
 	GRACE_US = 2000000,
+	TARGET_REPLY_MAX = 256 * 1024,
 	DOC_TIMEOUT_US = 2000000,
 	FLUSH_ROUNDS = 20,
 	FLUSH_US = 2000000,
@@ -95,6 +96,7 @@
 	struct fetch_request request = {
 		.remaining_us = fx->wait_us,
 		.timeout_us = fx->wait_us + GRACE_US,
+		.max_body = TARGET_REPLY_MAX,
 		.once = fx->fetch == FETCH_ENTRY,
 		.done = on_fetched,
 		.ctx = call,
--- a/tests/fake_targets.c
+++ b/tests/fake_targets.c
@@ -45,6 +45,7 @@
 	int64_t lacks; /* snapshot version that it does not have */
 	int64_t dead; /* close every connection at once */
 	int64_t mute; /* run entries and never answer */
+	int64_t padding; /* bytes added to each row */
 };
 
 struct leaf;
@@ -109,6 +110,7 @@
 	KNOB(draining),	  KNOB(lie_idle),    KNOB(shed),
 	KNOB(close),	  KNOB(truncate),    KNOB(wrong_version),
 	KNOB(lacks),	  KNOB(dead),	     KNOB(mute),
+	KNOB(padding),
 };
 enum {
 	KNOBS = sizeof(knob_table) / sizeof(*knob_table)
@@ -271,7 +273,8 @@
 			   "\"terms\":",
 			   (long long)shard, (long long)version);
 		buf_json_add(&out, http_query(req, "terms"));
-		buf_str_add(&out, STR("}]}"));
+		buf_printf(&out, ",\"pad\":\"%*s\"}]}",
+			   (int)leaf->knobs.padding, "");
 	}
 	if (leaf->knobs.truncate)
 		out.len /= 2;
--- a/tests/process.py
+++ b/tests/process.py
@@ -375,6 +375,20 @@
               "index")
 
 
+def test_large_replies(base):
+    """Targets answer with large rows, then with more than a reply may have.
+    The first are merged, the second count as malformed and are not covered."""
+    with World(base=base) as w:
+        w.set_targets("all", padding=100000)
+        status, answer = w.ask()
+        check(status == 200 and answer["complete"], answer["missing"])
+        w.set_targets("orders-0", padding=300000)
+        w.set_targets("orders-1", padding=300000)
+        answer = w.ask()[1]
+        check([m["kind"] for m in answer["missing"]] == ["malformed"],
+              answer["missing"])
+
+
 def test_caller_goes_away(base):
     """A caller closes while its question waits on slow targets. The leaf work
     is cancelled at the targets, by their books."""
