--- a/bench/reducer.c
+++ b/bench/reducer.c
@@ -323,7 +323,7 @@
 	stop(&rig);
 }
 
-/* A node starts at letter 1's size: all others are heard within a second. */
+/* A node starts in the largest fleet: all others are heard within a second. */
 static void bench_joins(int vms)
 {
 	struct rig rig;
