A paused node goes on as soon as its documents have come; dead code removed

Cause: the call that ends the wait after a pause once a document arrives was missing, so the node waited for the platform or the full second. Before: the wait ends by the next answer or after 1 s. After: with the document.

--- a/conf.c
+++ b/conf.c
@@ -29,11 +29,6 @@
 	return hash > doc->hash;
 }
 
-bool conf_joined(const struct node *node)
-{
-	return node->conf->joined;
-}
-
 bool conf_behind(const struct node *node)
 {
 	const struct conf *conf = node->conf;
@@ -261,6 +256,7 @@
 		node_view_changed(node);
 	if (taken && kind == DOC_FLEET)
 		replica_forget(node);
+	member_caught_up(node);
 }
 
 /* The VMs named in a fleet that is not in force yet are asked for newer. */
--- a/conf.h
+++ b/conf.h
@@ -58,4 +58,3 @@
 void conf_read_now(struct node *node);
 /** conf_behind() - a peer has a newer document than is in force here. */
 bool conf_behind(const struct node *node);
-bool conf_joined(const struct node *node);
--- a/counter.c
+++ b/counter.c
@@ -50,11 +50,6 @@
 	[CNT_BAD_FRAMES] = "bad_frames",
 };
 
-const char *counter_name(enum counter counter)
-{
-	return names[counter];
-}
-
 void counters_json(const uint64_t *values, struct buf *out)
 {
 	buf_add(out, "{", 1);
--- a/counter.h
+++ b/counter.h
@@ -56,6 +56,5 @@
 	COUNTERS,
 };
 
-const char *counter_name(enum counter counter);
 /** counters_json() - append one JSON object with all of @values. */
 void counters_json(const uint64_t *values, struct buf *out);
--- a/once.c
+++ b/once.c
@@ -43,7 +43,6 @@
 	once->records = hash_make(once->pool);
 	once->forwards = hash_make(once->pool);
 	once->secret = rng_next(&node->rng);
-	once->first_seq = node->next_id + 1;
 }
 
 static void record_free(struct record *record)
--- a/once.h
+++ b/once.h
@@ -72,7 +72,7 @@
 	size_t open;
 	size_t unused; /* tickets issued and not used yet */
 	int64_t issued_at; /* last issue */
-	uint64_t first_seq; /* no ticket below was issued here */
+
 	uint64_t evicted; /* records up to here may have been dropped */
 	uint64_t secret;
 };
--- a/serve.c
+++ b/serve.c
@@ -53,7 +53,6 @@
 	struct watch *signals;
 	int signal_fd;
 	size_t platform[DOC_KINDS];
-	bool stopping;
 };
 
 static void feed(struct server *s, struct event event)
@@ -190,7 +189,7 @@
 		audit_add(&s->audit, fx->body);
 		break;
 	case FX_STOP:
-		s->stopping = true;
+
 		loop_stop(s->loop);
 		break;
 	}
--- a/tests/mesh.c
+++ b/tests/mesh.c
@@ -182,12 +182,11 @@
 	uint64_t *pair = apr_hash_get(mesh->runs, &key, sizeof(key));
 
 	if (!pair) {
-		pair = apr_pcalloc(mesh->pool, 3 * sizeof(*pair));
+		pair = apr_pcalloc(mesh->pool, 2 * sizeof(*pair));
 		pair[0] = key;
 		apr_hash_set(mesh->runs, &pair[0], sizeof(key), pair);
 	}
 	pair[1]++;
-	pair[2] = (uint64_t)mesh->now;
 }
 
 uint64_t mesh_runs(struct mesh *mesh, const char *entry)
@@ -198,14 +197,6 @@
 	return pair ? pair[1] : 0;
 }
 
-int64_t mesh_ran_at(struct mesh *mesh, const char *entry)
-{
-	uint64_t key = str_hash(str_of(entry));
-	uint64_t *pair = apr_hash_get(mesh->runs, &key, sizeof(key));
-
-	return pair ? (int64_t)pair[2] : 0;
-}
-
 static void serve(struct mesh *mesh, struct work *work)
 {
 	struct mesh_target *target = work->target;
--- a/tests/mesh.h
+++ b/tests/mesh.h
@@ -139,8 +139,7 @@
 		 const char *body);
 struct mesh_target *mesh_target(struct mesh *mesh, const char *name);
 uint64_t mesh_runs(struct mesh *mesh, const char *entry);
-/** mesh_ran_at() - time of the last run, 0 when there was none. */
-int64_t mesh_ran_at(struct mesh *mesh, const char *entry);
+
 /** mesh_feed() - hand an event to node @i and take its effects. */
 void mesh_feed(struct mesh *mesh, int i, struct event event);
 void mesh_cold(struct mesh *mesh, struct mesh_target *target);
