--- a/bench/reducer.c
+++ b/bench/reducer.c
@@ -2,7 +2,7 @@
  * Speed and memory of the decisions alone: one node's reducer, no sockets.
  * One JSON line a measurement; bench/slopes.py fits them.
  *
- *   reducer leafs|targets|members|joins|docs|customers|records
+ *   reducer leafs|targets|members|joins|docs|customers|records|growth
  */
 #include <malloc.h>
 #include <stdio.h>
@@ -395,6 +395,24 @@
 	stop(&rig);
 }
 
+/* Resident bytes over a long run; under valgrind, allocations a leaf. */
+static void bench_growth(int questions)
+{
+	struct rig rig;
+
+	start(&rig, 260, 260, 1, 1);
+	for (int step = 0; step < 6; step++) {
+		for (int i = 0; i < questions; i++) {
+			rig.now += 2000;
+			ask(&rig);
+		}
+		printf("{\"bench\":\"growth\",\"leafs\":%llu,"
+		       "\"resident_kb\":%.0f}\n",
+		       (unsigned long long)rig.leafs, heap_now() / 1024);
+	}
+	stop(&rig);
+}
+
 /* Records of entries that were concluded: bytes each. */
 static void bench_records(int records)
 {
@@ -447,6 +465,8 @@
 	const char *what = argc > 1 ? argv[1] : "";
 
 	apr_initialize();
+	if (!strcmp(what, "growth"))
+		bench_growth(argc > 2 ? atoi(argv[2]) : 8000);
 	for (size_t i = 0; i < 5; i++) {
 		if (!strcmp(what, "leafs"))
 			bench_leafs(sizes[i], sizes[i]);
