--- a/tests/check_points.c
+++ b/tests/check_points.c
@@ -547,6 +547,48 @@
 	ck_assert_int_eq((int)mesh_runs(mesh, ENTRY), 0);
 }
 
+/* 6. The reply of a target that shed the entry is lost.
+ * Nobody can tell that it did not run: "unknown", and no later run. */
+static void shed_reply_lost(struct mesh *mesh)
+{
+	char ticket[160];
+	size_t id;
+
+	for (size_t i = 0; i < mesh->ntargets; i++)
+		mesh->targets[i].drops = true;
+	take_ticket(mesh, 0, ticket, sizeof(ticket));
+	id = enter(mesh, 0, ticket);
+	mesh_run(mesh, 4 * SECOND);
+	ck_assert(says(mesh, id, "\"unknown\""));
+	ck_assert_int_eq((int)mesh_runs(mesh, ENTRY), 0);
+}
+
+/* 6. The entry is given up while its grant is on the way.
+ * The caller is told "not run" at its deadline of 1 ms; the grant comes at
+ * about 2 ms and is not used; the gate gets its slot back. */
+static void given_up_before_grant(struct mesh *mesh)
+{
+	int gate = gate_of(mesh, "t0");
+	int issuer = (gate + 1) % 3;
+	char ticket[160];
+	char body[400];
+	size_t id;
+
+	mesh->latency_us = MS;
+	take_ticket(mesh, issuer, ticket, sizeof(ticket));
+	snprintf(body, sizeof(body),
+		 "{\"customer\":\"mill\",\"request_id\":\"e\",\"ticket\":"
+		 "\"%s\",\"index\":\"orders\",\"key\":5,\"deadline_ms\":1,"
+		 "\"entry\":" ENTRY "}",
+		 ticket);
+	id = mesh_call(mesh, issuer, EV_ENTRY, body);
+	mesh_run(mesh, 1500);
+	ck_assert(says(mesh, id, "\"not_run\""));
+	mesh_run(mesh, 4 * SECOND);
+	ck_assert_int_eq((int)mesh_runs(mesh, ENTRY), 0);
+	ck_assert_int_eq((int)gate_open(mesh->nodes[gate].node), 0);
+}
+
 /* 7. One ticket, two nodes at once, and again later: one run, one outcome. */
 static void entry_two_nodes(struct mesh *mesh)
 {
@@ -876,6 +918,8 @@
 	{ "go ages", go_ages },
 	{ "issuer killed before go", issuer_killed_before_go },
 	{ "entry shed", entry_shed },
+	{ "shed reply lost", shed_reply_lost },
+	{ "given up before grant", given_up_before_grant },
 	{ "entry at two nodes", entry_two_nodes },
 	{ "entry without a ticket", entry_no_ticket },
 	{ "issuer replaced", issuer_replaced },
--- a/tests/mesh.c
+++ b/tests/mesh.c
@@ -326,6 +326,8 @@
 		reply_short(mesh, work, FETCH_REFUSED, 0);
 	} else if (work->kind == FETCH_HEALTH) {
 		reply_short(mesh, work, FETCH_OK, 200);
+	} else if (target->drops && work->kind == FETCH_ENTRY) {
+		reply_short(mesh, work, FETCH_BROKEN, 0);
 	} else if (work->boot != target->boot) {
 		/* It was on its way over a connection to the old process. */
 		reply_short(mesh, work, FETCH_BROKEN, 0);
--- a/tests/mesh.h
+++ b/tests/mesh.h
@@ -61,7 +61,8 @@
 	int64_t service_us; /* 0: the mesh's */
 	bool draining;
 	bool dead;
-	bool closes; /* reads and closes */
+	bool closes; /* reads, runs and closes */
+	bool drops; /* reads and closes, and runs nothing */
 	bool hangs; /* takes connections and never answers */
 	bool mute; /* runs entries, never answers */
 	uint64_t lacks;
--- a/tests/process.py
+++ b/tests/process.py
@@ -83,8 +83,9 @@
 
 def test_cold_start_under_load(base):
     """Every target restarts under load without a word, and reports that it is
-    idle. By its own books none gets two requests while it bears one."""
-    with World(base=base, targets=["lie_idle=1"]) as w:
+    idle; each new connection costs 6 ms. By its own books none gets two
+    requests while it bears one."""
+    with World(base=base, targets=["lie_idle=1", "connect_us=6000"]) as w:
         callers = load(w, 8)
         time.sleep(3)
         for target in w.book()["targets"]:
