--- /dev/null
+++ b/call.c
@@ -0,0 +1,357 @@
+#include "call.h"
+
+#include <stdlib.h>
+
+#include "note.h"
+#include "xmalloc.h"
+
+enum {
+	/*
+	 * An attempt that nobody waits for may end by itself within this time,
+	 * which keeps its connection; then it is cut, so that a target does not
+	 * work for callers that have gone. Callers count half a second.
+	 */
+	ORPHAN_US = 250000,
+	/* Past the time told to a target, for its own refusal to arrive. */
+	REPLY_SLACK_US = 30000,
+};
+
+void calls_init(struct calls *calls, apr_pool_t *pool, uint64_t seed)
+{
+	*calls = (struct calls){ .pool = pool, .rng.seed = seed };
+	calls->open = hash_make(pool);
+	calls->attempts = hash_make(pool);
+}
+
+static void free_all(apr_hash_t *hash)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, hash); it; it = apr_hash_next(it)) {
+		void *value;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		free(value);
+	}
+}
+
+void calls_destroy(struct calls *calls)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, calls->open); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+		struct call *call;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		call = value;
+		call->next_dead = calls->dead;
+		calls->dead = call;
+	}
+	calls_reap(calls);
+	free_all(calls->attempts);
+	timers_free(&calls->timers);
+}
+
+void calls_reap(struct calls *calls)
+{
+	while (calls->dead) {
+		struct call *call = calls->dead;
+
+		calls->dead = call->next_dead;
+		catalog_unref(call->catalog);
+		apr_pool_destroy(call->pool);
+	}
+}
+
+static struct flow_request copy_request(apr_pool_t *pool,
+					const struct flow_request *from)
+{
+	return (struct flow_request){
+		.method = str_dup(pool, from->method),
+		.uri = str_dup(pool, from->uri),
+		.host = str_dup(pool, from->host),
+		.request_id = str_dup(pool, from->request_id),
+		.headers = str_dup(pool, from->headers),
+		.body = str_dup(pool, from->body),
+		.time_left_us = from->time_left_us,
+	};
+}
+
+struct call *call_create(struct calls *calls, uint64_t id,
+			 const struct flow_request *request,
+			 struct catalog *catalog, const struct route *route)
+{
+	apr_pool_t *pool;
+	struct call *call;
+	int64_t wait = route->timeout_us;
+
+	apr_pool_create(&pool, calls->pool);
+	call = apr_pcalloc(pool, sizeof(*call));
+	call->pool = pool;
+	call->id = id;
+	call->request = copy_request(pool, request);
+	call->catalog = catalog_ref(catalog);
+	call->route = route;
+	call->start = calls->now;
+	if (request->time_left_us >= 0 && request->time_left_us < wait)
+		wait = request->time_left_us;
+	call->give_up_at = calls->now + wait;
+	apr_hash_set(calls->open, &call->id, sizeof(call->id), call);
+	calls->nopen++;
+	return call;
+}
+
+struct call *call_find(struct calls *calls, uint64_t id)
+{
+	return apr_hash_get(calls->open, &id, sizeof(id));
+}
+
+void call_review_at(struct calls *calls, struct call *call, int64_t when)
+{
+	if (call->review_at && call->review_at <= when)
+		return;
+	call->review_at = when;
+	timer_add(&calls->timers, when, TIMER_QUESTION, call->id);
+}
+
+/* Attempts. */
+
+static void attempt_unlink(struct attempt *attempt)
+{
+	struct attempt **at = &attempt->call->attempts;
+
+	while (*at != attempt)
+		at = &(*at)->next;
+	*at = attempt->next;
+}
+
+static void attempt_orphan(struct calls *calls, struct attempt *attempt)
+{
+	int64_t until = attempt->sent_at + ORPHAN_US;
+
+	attempt->call = NULL;
+	attempt->next = NULL;
+	timer_add(&calls->timers, until > calls->now ? until : calls->now,
+		  TIMER_JOB, attempt->id);
+}
+
+/* The replies of a part that is done are not needed any more. */
+static void orphan_part(struct calls *calls, struct call *call, size_t part)
+{
+	struct attempt **at = &call->attempts;
+
+	while (*at) {
+		struct attempt *attempt = *at;
+
+		if (attempt->part != part) {
+			at = &attempt->next;
+			continue;
+		}
+		*at = attempt->next;
+		attempt_orphan(calls, attempt);
+	}
+	call->parts[part].open = 0;
+}
+
+static void attempt_cut(struct calls *calls, struct attempt *attempt)
+{
+	struct flow_effect *fx = flow_add(calls->fx, FLOW_CANCEL);
+
+	fx->id = attempt->id;
+	roster_answered(calls->roster, attempt->target, REPLY_DROPPED,
+			attempt->sent_at, calls->now);
+	apr_hash_set(calls->attempts, &attempt->id, sizeof(attempt->id), NULL);
+	free(attempt);
+}
+
+static void attempt_start(struct calls *calls, struct call *call, size_t part,
+			  struct live_target *target)
+{
+	struct attempt *attempt = xcalloc(1, sizeof(*attempt));
+	struct flow_effect *fx = flow_add(calls->fx, FLOW_SEND);
+	struct part *p = &call->parts[part];
+
+	attempt->id = ++calls->next_id;
+	attempt->call = call;
+	attempt->part = part;
+	attempt->target = target;
+	attempt->sent_at = calls->now;
+	attempt->extra = p->ntried > 0;
+	attempt->next = call->attempts;
+	call->attempts = attempt;
+	apr_hash_set(calls->attempts, &attempt->id, sizeof(attempt->id),
+		     attempt);
+	p->tried[p->ntried++] = target->key;
+	p->open++;
+	roster_sent(calls->roster, target, calls->now);
+	fx->id = attempt->id;
+	fx->addr = str_dup(calls->fx->pool, target->addr);
+	fx->expected = str_dup(calls->fx->pool, target->id);
+	fx->request = &call->request;
+	fx->time_left_us = call->give_up_at - calls->now;
+	fx->timeout_us = fx->time_left_us + REPLY_SLACK_US;
+}
+
+enum send_result call_send(struct calls *calls, struct call *call, size_t part)
+{
+	struct part *p = &call->parts[part];
+	struct choice choice = { .service = p->service,
+				 .avoid = p->tried,
+				 .navoid = p->ntried,
+				 .now = calls->now };
+	struct live_target *target;
+
+	if (p->ntried >= CALL_TRIES_MAX ||
+	    (int)p->ntried >= call->route->attempts)
+		return SEND_NO_TRIES;
+	target = roster_choose(calls->roster, &choice);
+	if (!target)
+		return SEND_NO_TARGET;
+	if (!p->ntried)
+		budget_first(calls->budget, p->service, calls->now);
+	else if (!budget_take(calls->budget, p->service, calls->now))
+		return SEND_NO_BUDGET;
+	attempt_start(calls, call, part, target);
+	return SEND_DONE;
+}
+
+static enum target_reply judge(const struct flow_reply *reply)
+{
+	switch (reply->result) {
+	case FETCH_REFUSED:
+		return REPLY_DOWN;
+	case FETCH_BROKEN:
+	case FETCH_TIMEOUT:
+	case FETCH_MALFORMED:
+		return REPLY_FAILED;
+	case FETCH_OK:
+		break;
+	}
+	if (reply->other)
+		return REPLY_OTHER;
+	if (reply->not_run)
+		return REPLY_FULL;
+	return reply->status / 100 == 2 ? REPLY_GOOD : REPLY_FAILED;
+}
+
+void call_replied(struct calls *calls, uint64_t id,
+		  const struct flow_reply *reply)
+{
+	struct attempt *attempt =
+		apr_hash_get(calls->attempts, &id, sizeof(id));
+	struct attempt copy;
+	struct call *call;
+
+	if (!attempt)
+		return;
+	call = attempt->call;
+	if (call) {
+		attempt_unlink(attempt);
+		call->parts[attempt->part].open--;
+	}
+	copy = *attempt;
+	apr_hash_set(calls->attempts, &copy.id, sizeof(copy.id), NULL);
+	free(attempt);
+	if (call && judge(reply) != REPLY_GOOD)
+		note_tried(calls->notes, calls->now, call, &copy, reply);
+	if (reply->cold_us > 0)
+		copy.target->cold_until = calls->now + reply->cold_us;
+	roster_answered(calls->roster, copy.target, judge(reply), copy.sent_at,
+			calls->now);
+	if (!call)
+		return;
+	if (reply->result != FETCH_REFUSED && !reply->not_run && !reply->other)
+		call->parts[copy.part].ran = true;
+	call->kind->replied(calls, call, &copy, reply);
+	/* The call may have ended: only its parts tell, and they still live. */
+	if (call->parts[copy.part].done)
+		orphan_part(calls, call, copy.part);
+}
+
+void call_due(struct calls *calls, const struct timer *due)
+{
+	struct attempt *attempt;
+	struct call *call;
+
+	if (due->kind == TIMER_JOB) {
+		attempt = apr_hash_get(calls->attempts, &due->id,
+				       sizeof(due->id));
+		if (attempt && !attempt->call)
+			attempt_cut(calls, attempt);
+		return;
+	}
+	call = call_find(calls, due->id);
+	if (!call || call->review_at != due->when)
+		return;
+	call->review_at = 0;
+	call->kind->review(calls, call);
+}
+
+/* Ends. */
+
+static void call_end(struct calls *calls, struct call *call)
+{
+	while (call->attempts) {
+		struct attempt *attempt = call->attempts;
+
+		call->attempts = attempt->next;
+		/*
+		 * What may run once only is left to end by itself: cutting it
+		 * would leave open whether it ran, also to the target's books.
+		 */
+		if (call->route->repeatable)
+			attempt_orphan(calls, attempt);
+		else
+			attempt->call = NULL;
+	}
+	apr_hash_set(calls->open, &call->id, sizeof(call->id), NULL);
+	calls->nopen--;
+	call->next_dead = calls->dead;
+	calls->dead = call;
+}
+
+void call_answer(struct calls *calls, struct call *call,
+		 const struct final *final)
+{
+	struct flow_effect *fx;
+
+	note_final(calls->notes, calls->now, call, final);
+	fx = flow_add(calls->fx, FLOW_ANSWER);
+	fx->id = call->id;
+	fx->status = final->status;
+	fx->headers = str_dup(call->pool, final->headers);
+	fx->body = str_dup(call->pool, final->body);
+	fx->merged = final->merged;
+	fx->signatures = str_dup(call->pool, final->signatures);
+	fx->missing = final->missing;
+	fx->retry_after_us = final->retry_after_us;
+	call_end(calls, call);
+}
+
+void call_refuse(struct calls *calls, struct call *call, int status,
+		 const char *why, int64_t retry_after_us)
+{
+	struct buf body = { 0 };
+	struct final final = { .status = status,
+			       .why = why,
+			       .headers = STR("Content-Type: "
+					      "application/json\r\n"),
+			       .retry_after_us = retry_after_us };
+
+	error_json(&body,
+		   status == 503   ? ERR_OVERLOADED
+		   : status == 504 ? ERR_DEADLINE
+				   : ERR_BROKEN,
+		   why, retry_after_us / 1000);
+	final.body = buf_str(&body);
+	call_answer(calls, call, &final);
+	buf_free(&body);
+}
+
+void call_abandon(struct calls *calls, struct call *call)
+{
+	note_gone(calls->notes, calls->now, call);
+	call_end(calls, call);
+}
--- /dev/null
+++ b/call.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include "budget.h"
+#include "flow.h"
+#include "latency.h"
+#include "rng.h"
+#include "roster.h"
+#include "timer.h"
+
+/**
+ * DOC: calls and attempts
+ *
+ * A call is one request of a caller, from its arrival to its final answer. An
+ * attempt is one sending of it, or of its part for one shard, to a target.
+ * What a call does with replies and with time differs by its kind: merged over
+ * shards (merge.c) or passed on to one target (forward.c).
+ */
+
+struct calls;
+struct call;
+
+/**
+ * struct attempt - a request under way to a target
+ * @call: NULL when nobody waits for it any more
+ * @part: index of the shard within the call
+ * @extra: not the first for its shard
+ */
+struct attempt {
+	uint64_t id;
+	struct call *call;
+	size_t part;
+	struct live_target *target;
+	int64_t sent_at;
+	bool extra;
+	struct attempt *next; /* of the same call */
+};
+
+/**
+ * struct call_kind - what a kind of call does
+ * @begin: first sends
+ * @replied: a reply to one of its attempts, which is no longer among them
+ * @review: its time has come; sets call->review_at anew
+ * @answered_by_peer: the node that was asked has answered, or is gone
+ */
+struct call_kind {
+	const char *name;
+	void (*begin)(struct calls *calls, struct call *call);
+	void (*replied)(struct calls *calls, struct call *call,
+			const struct attempt *attempt,
+			const struct flow_reply *reply);
+	void (*review)(struct calls *calls, struct call *call);
+};
+
+enum {
+	CALL_TRIES_MAX = 4,
+};
+
+/**
+ * struct part - a shard of a merged call, or the one target of another
+ * @tried: targets that had the request
+ * @open: attempts under way
+ * @done: a good reply is in
+ * @ran: some target may have run it
+ */
+struct part {
+	uint64_t service;
+	uint64_t tried[CALL_TRIES_MAX];
+	size_t ntried;
+	int open;
+	bool done;
+	bool ran;
+};
+
+/**
+ * struct call - one request of a caller
+ * @id: of the caller's request, or drawn here for another node's
+ * @asker: node that asked on behalf of a caller, empty when a caller did
+ * @asker_id: its id there
+ * @give_up_at: the caller, or its route, waits no longer
+ * @soft_at: what is there is answered if it is enough
+ * @review_at: next review; 0 when none is planned
+ * @delegate: node that merges for this one, empty when this one does
+ * @state: of its kind
+ */
+struct call {
+	uint64_t id;
+	apr_pool_t *pool;
+	struct flow_request request;
+	struct catalog *catalog;
+	const struct route *route;
+	const struct call_kind *kind;
+	struct str asker;
+	uint64_t asker_incarnation;
+	uint64_t asker_id;
+	int64_t start;
+	int64_t give_up_at;
+	int64_t soft_at;
+	int64_t review_at;
+	struct part *parts;
+	size_t nparts;
+	size_t ndone;
+	struct attempt *attempts;
+	struct str delegate;
+	void *state;
+	struct call *next_dead;
+};
+
+/**
+ * struct calls - all calls of a node, and what they need
+ * @now: of the event at hand
+ * @fx: effects of the event at hand
+ * @open: id -> struct call
+ * @attempts: id -> struct attempt
+ * @dead: ended; freed by calls_reap()
+ */
+struct calls {
+	apr_pool_t *pool;
+	int64_t now;
+	struct flow_effects *fx;
+	struct roster *roster;
+	struct budget *budget;
+	struct timers timers;
+	struct rng rng;
+	apr_hash_t *open;
+	apr_hash_t *attempts;
+	uint64_t next_id;
+	struct call *dead;
+	size_t nopen;
+	struct note_book *notes;
+};
+
+/** enum send_result - whether an attempt was made */
+enum send_result {
+	SEND_DONE,
+	SEND_NO_TARGET, /* none may be asked now */
+	SEND_NO_BUDGET, /* second sends have used up their part */
+	SEND_NO_TRIES, /* the route allows no more targets */
+};
+
+void calls_init(struct calls *calls, apr_pool_t *pool, uint64_t seed);
+void calls_destroy(struct calls *calls);
+/** calls_reap() - free what ended; no effect may point there any more. */
+void calls_reap(struct calls *calls);
+
+/** call_create() - copies @request; not yet begun. */
+struct call *call_create(struct calls *calls, uint64_t id,
+			 const struct flow_request *request,
+			 struct catalog *catalog, const struct route *route);
+struct call *call_find(struct calls *calls, uint64_t id);
+/** call_send() - one more attempt for a part, to the best target left. */
+enum send_result call_send(struct calls *calls, struct call *call, size_t part);
+/** call_review_at() - plan the next review for @when, if that is earlier. */
+void call_review_at(struct calls *calls, struct call *call, int64_t when);
+/** call_replied() - a target replied; ends in the call's kind. */
+void call_replied(struct calls *calls, uint64_t id,
+		  const struct flow_reply *reply);
+/** call_due() - a timer of @id has come. */
+void call_due(struct calls *calls, const struct timer *due);
+
+/**
+ * struct final - the last word to a caller
+ * @code: of an error of this node's own; 0 for a reply or a merged answer
+ * @why: what led to it, for the log
+ */
+struct final {
+	int status;
+	struct str headers;
+	struct str body;
+	bool merged;
+	struct str signatures;
+	size_t missing;
+	int64_t retry_after_us;
+	const char *why;
+};
+
+/** call_answer() - give the final answer; the call ends. */
+void call_answer(struct calls *calls, struct call *call,
+		 const struct final *final);
+/** call_refuse() - end with an error of this node's own. */
+void call_refuse(struct calls *calls, struct call *call, int status,
+		 const char *why, int64_t retry_after_us);
+/** call_abandon() - the caller is gone: end without an answer. */
+void call_abandon(struct calls *calls, struct call *call);
--- a/command.c
+++ b/command.c
@@ -9,7 +9,9 @@
 #include "client.h"
 #include "config.h"
 #include "doc.h"
+#include "edge.h"
 #include "log.h"
+#include "platform/platform.h"
 #include "serve.h"
 
 #ifndef VERSION
@@ -103,6 +105,33 @@
 	return code;
 }
 
+/* tier */
+
+static int run_tier(int argc, char **argv)
+{
+	struct arg_int *metrics = arg_int0("m", "metrics-port", "PORT",
+					   "serve counters on this port");
+	struct arg_str *level = arg_str0("l", "log-level", "LEVEL",
+					 "error, warn, info or debug");
+	void *table[] = { help_arg(), metrics, level, arg_end(MAX_ERRORS) };
+	int code = parse_args(argc, argv, table,
+			      "Serve the targets that a platform publishes.");
+
+	if (code < 0) {
+		struct edge_options opt = {
+			.dialect = &platform_dialect,
+			.metrics_port =
+				metrics->count ? (uint16_t)metrics->ival[0] : 0,
+		};
+
+		log_init(str_of(level->count ? level->sval[0] : "info"));
+		code = edge_run(&opt);
+		log_deinit();
+	}
+	ARGS_FREE(table);
+	return code;
+}
+
 /* check */
 
 static int check_settings(const char *file)
@@ -420,6 +449,7 @@
 
 static const struct command commands[] = {
 	{ "serve", "run a node", run_serve },
+	{ "tier", "serve the targets that a platform publishes", run_tier },
 	{ "check", "judge settings, lists and fleet files", run_check },
 	{ "ask", "ask a question", run_ask },
 	{ "status", "show a node's state", run_status },
--- /dev/null
+++ b/directory.c
@@ -0,0 +1,191 @@
+#include "directory.h"
+
+#include <stdlib.h>
+
+#include "xmalloc.h"
+
+void directory_init(struct directory *dir, apr_pool_t *pool,
+		    const struct dialect *dialect, struct roster *roster,
+		    struct note_book *notes)
+{
+	*dir = (struct directory){ .pool = pool,
+				   .dialect = dialect,
+				   .roster = roster,
+				   .notes = notes,
+				   .nodes = 1 };
+	dir->keys = hash_make(pool);
+}
+
+void directory_destroy(struct directory *dir)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, dir->keys); it; it = apr_hash_next(it)) {
+		void *value;
+		struct held_key *held;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		held = value;
+		str_free(held->key);
+		str_free(held->value);
+		free(held);
+	}
+	catalog_unref(dir->catalog);
+}
+
+static struct held_key *held_get(struct directory *dir, struct str key)
+{
+	struct held_key *held =
+		apr_hash_get(dir->keys, key.ptr, (apr_ssize_t)key.len);
+
+	if (held)
+		return held;
+	held = xcalloc(1, sizeof(*held));
+	held->key = str_keep(key);
+	held->deleted = true;
+	apr_hash_set(dir->keys, held->key.ptr, (apr_ssize_t)held->key.len,
+		     held);
+	return held;
+}
+
+static int cold_part(const struct directory *dir, double per_s)
+{
+	int all = (int)(per_s * dir->cold_factor) + dir->cold_extra;
+	int mine = all / dir->nodes;
+
+	return mine > 0 ? mine : 1;
+}
+
+void directory_bounds(struct directory *dir, int nodes)
+{
+	dir->nodes = nodes > 0 ? nodes : 1;
+	for (size_t i = 0; dir->catalog && i < dir->catalog->nservices; i++) {
+		const struct service *service = &dir->catalog->services[i];
+
+		roster_cold_bound(dir->roster, service->key,
+				  service->cold_per_s > 0
+					  ? cold_part(dir, service->cold_per_s)
+					  : 0);
+	}
+}
+
+static void take_catalog(struct directory *dir, struct catalog *catalog,
+			 int64_t now)
+{
+	if (dir->catalog && dir->catalog->version >= catalog->version) {
+		catalog_unref(catalog);
+		return;
+	}
+	catalog_unref(dir->catalog);
+	dir->catalog = catalog;
+	dir->notes->version = catalog->version;
+	directory_bounds(dir, dir->nodes);
+	note_belief(dir->notes, now, "configuration", STR("all routes"),
+		    "a newer version was published", catalog->version);
+}
+
+static void take_fact(struct directory *dir, const struct held_key *held,
+		      int64_t now)
+{
+	struct error err = { 0 };
+	struct fact fact;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, dir->pool);
+	if (dir->dialect->decode(held->key, held->value, &fact, pool, &err)) {
+		note_belief(dir->notes, now, "unusable", held->key, err.text,
+			    held->revision);
+		/* An entry that cannot be read names no target to use. */
+		if (fact.kind == FACT_TARGET && fact.target.id.len)
+			roster_drop(dir->roster, fact.target.id, now);
+	} else if (fact.kind == FACT_CATALOG) {
+		take_catalog(dir, fact.catalog, now);
+	} else if (fact.kind == FACT_TARGET) {
+		roster_put(dir->roster, &fact.target, now);
+	} else if (fact.kind == FACT_DOMAIN_OUT) {
+		roster_domain(dir->roster, fact.domain, true);
+		note_belief(dir->notes, now, "failure domain out", fact.domain,
+			    "operators took it out", held->revision);
+	}
+	apr_pool_destroy(pool);
+}
+
+static void take_end(struct directory *dir, const struct held_key *held,
+		     int64_t now)
+{
+	struct error err = { 0 };
+	struct fact fact;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, dir->pool);
+	/* Only the key matters; the value was the last one. */
+	dir->dialect->decode(held->key, held->value, &fact, pool, &err);
+	if (fact.kind == FACT_TARGET && fact.target.id.len) {
+		roster_drop(dir->roster, fact.target.id, now);
+		note_belief(dir->notes, now, "target gone", fact.target.id,
+			    "its entry is gone", held->revision);
+	} else if (fact.kind == FACT_DOMAIN_OUT) {
+		roster_domain(dir->roster, fact.domain, false);
+		note_belief(dir->notes, now, "failure domain in", fact.domain,
+			    "operators took it back", held->revision);
+	}
+	catalog_unref(fact.catalog);
+	apr_pool_destroy(pool);
+}
+
+static void apply_one(struct directory *dir, const struct store_item *item,
+		      int64_t now)
+{
+	struct held_key *held;
+
+	if (dir->dialect->kind(item->key) == FACT_NONE)
+		return;
+	held = held_get(dir, item->key);
+	held->round = dir->round;
+	if (item->revision <= held->revision)
+		return;
+	held->revision = item->revision;
+	if (item->deleted) {
+		if (!held->deleted)
+			take_end(dir, held, now);
+		held->deleted = true;
+		return;
+	}
+	held->deleted = false;
+	str_free(held->value);
+	held->value = str_keep(item->value);
+	take_fact(dir, held, now);
+}
+
+void directory_apply(struct directory *dir, const struct store_item *items,
+		     size_t count, int64_t now)
+{
+	for (size_t i = 0; i < count; i++)
+		apply_one(dir, &items[i], now);
+}
+
+void directory_round(struct directory *dir)
+{
+	dir->round++;
+}
+
+void directory_whole(struct directory *dir, uint64_t revision, int64_t now)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, dir->keys); it; it = apr_hash_next(it)) {
+		void *value;
+		struct held_key *held;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		held = value;
+		if (held->deleted || held->round == dir->round ||
+		    held->revision > revision)
+			continue;
+		take_end(dir, held, now);
+		held->deleted = true;
+		held->revision = revision;
+	}
+	if (revision > dir->revision)
+		dir->revision = revision;
+}
--- /dev/null
+++ b/directory.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "flow.h"
+#include "note.h"
+#include "roster.h"
+
+/**
+ * DOC: what is published, as this node knows it
+ *
+ * A copy of the store's keys that matter here, each with the revision of its
+ * last change, so it does not matter whether a change comes from the store or
+ * from another node, nor in which order. Nothing goes back to an older
+ * revision.
+ */
+
+/**
+ * struct directory - the copy, and what it says
+ * @catalog: newest configuration, NULL before the first
+ * @revision: of the store when it was last read whole or in order
+ * @read_at: when the store, or a node that had just read it, was last heard
+ * @dialect: how keys and values are spelled
+ */
+struct directory {
+	apr_pool_t *pool;
+	const struct dialect *dialect;
+	struct roster *roster;
+	struct note_book *notes;
+	apr_hash_t *keys;
+	struct catalog *catalog;
+	uint64_t revision;
+	int64_t read_at;
+	uint64_t round;
+	double cold_factor;
+	int cold_extra;
+	int nodes;
+};
+
+/** struct held_key - a key as it is known */
+struct held_key {
+	struct str key;
+	struct str value;
+	uint64_t revision;
+	bool deleted;
+	uint64_t round; /* read of the whole store that saw it last */
+};
+
+void directory_init(struct directory *dir, apr_pool_t *pool,
+		    const struct dialect *dialect, struct roster *roster,
+		    struct note_book *notes);
+void directory_destroy(struct directory *dir);
+/** directory_apply() - take items that are newer than what is held. */
+void directory_apply(struct directory *dir, const struct store_item *items,
+		     size_t count, int64_t now);
+/** directory_round() - a read of the whole store begins. */
+void directory_round(struct directory *dir);
+/** directory_whole() - it is complete: keys that it did not show are gone. */
+void directory_whole(struct directory *dir, uint64_t revision, int64_t now);
+/** directory_bounds() - cold bounds of targets for this many nodes. */
+void directory_bounds(struct directory *dir, int nodes);
--- /dev/null
+++ b/edge.c
@@ -0,0 +1,499 @@
+#include "edge.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/random.h>
+#include <sys/signalfd.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "config.h"
+#include "head.h"
+#include "http.h"
+#include "peer.h"
+#include "tier.h"
+#include "upstream.h"
+#include "xmalloc.h"
+
+#define LOG_MODULE "edge"
+#include "log.h"
+
+enum {
+	SETTINGS_MAX = 256 * 1024,
+	/* Until the configuration in force says what callers may send. */
+	BODY_MAX = 256 * 1024,
+	CONNECT_US = 1000000,
+	/* Settings may change without a signal: their file is looked at. */
+	SETTINGS_LOOK_US = 1000000,
+	/* What is answered last may still be on its way to the sockets. */
+	FLUSH_US = 300000,
+};
+
+/* Ids of calls to the store have this bit, those of attempts never do. */
+static const uint64_t store_bit = 1ULL << 63;
+
+struct edge {
+	const struct dialect *dialect;
+	apr_pool_t *pool;
+	struct loop *loop;
+	struct vm_settings settings;
+	struct timespec settings_time;
+	int64_t settings_looked_at;
+	struct tier *tier;
+	struct flow_effects fx;
+	bool carrying;
+	struct upstream *upstream;
+	struct http_server *callers;
+	struct http_server *health;
+	struct http_server *metrics;
+	apr_hash_t *requests; /* id -> struct http_request */
+	enum store_call store_call;
+	uint64_t store_id;
+	bool ready;
+	int signal_fd;
+	struct watch *signals;
+};
+
+static void carry_out(struct edge *edge);
+
+static void feed(struct edge *edge, struct flow_event event)
+{
+	event.now = loop_now();
+	tier_reduce(edge->tier, &event, &edge->fx);
+	/* Carrying out may itself feed; the outer round takes that along. */
+	if (!edge->carrying)
+		carry_out(edge);
+}
+
+/* Targets and the store. */
+
+static void on_store_reply(struct edge *edge,
+			   const struct upstream_reply *reply)
+{
+	const struct dialect *dialect = edge->dialect;
+	struct store_reply decoded;
+	struct flow_store store = { .call = edge->store_call };
+	struct error err = { 0 };
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, edge->pool);
+	if (reply->result == FETCH_OK && reply->status == 410) {
+		store.lost_history = true;
+	} else if (reply->result == FETCH_OK && reply->status == 200) {
+		int code = edge->store_call == STORE_RANGE
+				   ? dialect->range_reply(reply->body, &decoded,
+							  pool, &err)
+				   : dialect->watch_reply(reply->body, &decoded,
+							  pool, &err);
+
+		store.ok = !code;
+		store.reply = &decoded;
+		if (code)
+			LOG_WARN("%s; %s", err.text, error_info(code)->remedy);
+	} else {
+		LOG_INFO("store: result %d, status %d", (int)reply->result,
+			 reply->status);
+	}
+	feed(edge, (struct flow_event){ .type = FLOW_STORE, .store = &store });
+	apr_pool_destroy(pool);
+}
+
+static void on_upstream(void *ctx, uint64_t id,
+			const struct upstream_reply *reply)
+{
+	struct edge *edge = ctx;
+	struct flow_reply decoded;
+	struct buf lines = { 0 };
+
+	if (id & store_bit) {
+		on_store_reply(edge, reply);
+		return;
+	}
+	head_reply(edge->dialect, reply, &decoded, &lines);
+	feed(edge, (struct flow_event){
+			   .type = FLOW_REPLY, .id = id, .reply = &decoded });
+	buf_free(&lines);
+}
+
+static void do_send(struct edge *edge, const struct flow_effect *fx)
+{
+	struct buf head = { 0 };
+	struct upstream_request request = {
+		.id = fx->id,
+		.addr = fx->addr,
+		.body = fx->request->body,
+		.echo_name = edge->dialect->names.request_id,
+		.echo = fx->request->request_id,
+		.no_body = str_eq(fx->request->method, STR("HEAD")),
+		.connect_us = CONNECT_US,
+		.timeout_us = fx->timeout_us,
+	};
+
+	head_request(edge->dialect, fx, &head);
+	request.head = buf_str(&head);
+	upstream_send(edge->upstream, &request);
+	buf_free(&head);
+}
+
+static void do_read(struct edge *edge, const struct flow_effect *fx)
+{
+	struct buf head = { 0 };
+	struct upstream_request request = {
+		.id = store_bit | ++edge->store_id,
+		.addr = edge->settings.store,
+		.connect_us = fx->timeout_us,
+		.timeout_us = fx->timeout_us,
+	};
+
+	buf_str_add(&head, STR("GET "));
+	if (fx->read == STORE_RANGE)
+		edge->dialect->range_uri(fx->prefix, fx->after, &head);
+	else
+		edge->dialect->watch_uri(fx->revision, fx->time_left_us, &head);
+	buf_printf(&head, " HTTP/1.1\r\nHost: %.*s\r\n\r\n",
+		   STR_ARG(edge->settings.store));
+	request.head = buf_str(&head);
+	edge->store_call = fx->read;
+	upstream_send(edge->upstream, &request);
+	buf_free(&head);
+}
+
+/* Callers. */
+
+static void do_answer(struct edge *edge, const struct flow_effect *fx)
+{
+	uint64_t id = fx->id;
+	struct http_request *req =
+		apr_hash_get(edge->requests, &id, sizeof(id));
+	struct buf lines = { 0 };
+
+	if (!req)
+		return;
+	apr_hash_set(edge->requests, &req->id, sizeof(req->id), NULL);
+	head_answer(edge->dialect, fx, &lines);
+	http_respond(req, fx->status, buf_str(&lines), fx->body);
+	buf_free(&lines);
+}
+
+static void on_caller(void *ctx, struct http_request *req)
+{
+	struct edge *edge = ctx;
+	const struct header_names *names = &edge->dialect->names;
+	struct buf lines = { 0 };
+	struct flow_request request = {
+		.method = req->method,
+		.uri = req->uri,
+		.host = http_header(req, STR("Host")),
+		.request_id = http_header(req, names->request_id),
+		.body = req->body,
+		.time_left_us =
+			head_time_left(http_header(req, names->time_left)),
+	};
+
+	http_headers(req, head_keep, &lines);
+	request.headers = buf_str(&lines);
+	apr_hash_set(edge->requests, &req->id, sizeof(req->id), req);
+	feed(edge, (struct flow_event){ .type = FLOW_REQUEST,
+					.id = req->id,
+					.request = &request });
+	buf_free(&lines);
+}
+
+static void on_caller_gone(void *ctx, struct http_request *req)
+{
+	struct edge *edge = ctx;
+
+	if (!apr_hash_get(edge->requests, &req->id, sizeof(req->id)))
+		return;
+	apr_hash_set(edge->requests, &req->id, sizeof(req->id), NULL);
+	feed(edge,
+	     (struct flow_event){ .type = FLOW_CALLER_GONE, .id = req->id });
+}
+
+static void on_health(void *ctx, struct http_request *req)
+{
+	struct edge *edge = ctx;
+
+	http_reply(req, edge->ready ? 200 : 503, STR("{}"));
+}
+
+static void on_metrics(void *ctx, struct http_request *req)
+{
+	struct edge *edge = ctx;
+	struct buf out = { 0 };
+
+	tier_metrics(edge->tier, &out);
+	http_respond(req, 200, STR("Content-Type: text/plain\r\n"),
+		     buf_str(&out));
+	buf_free(&out);
+}
+
+/* Effects. */
+
+static void do_effect(struct edge *edge, const struct flow_effect *fx)
+{
+	switch (fx->type) {
+	case FLOW_SEND:
+		do_send(edge, fx);
+		break;
+	case FLOW_CANCEL:
+		upstream_cancel(edge->upstream, fx->id);
+		break;
+	case FLOW_ANSWER:
+		do_answer(edge, fx);
+		break;
+	case FLOW_READ:
+		do_read(edge, fx);
+		break;
+	case FLOW_TELL:
+	case FLOW_RESET_PEER:
+		break;
+	case FLOW_LOG:
+		log_json(LOG_CLASS_INFO, "tier", fx->text);
+		break;
+	case FLOW_READY:
+		edge->ready = fx->on;
+		break;
+	case FLOW_LIMITS:
+		http_max_body(edge->callers, fx->limits.body_bytes);
+		break;
+	case FLOW_EXIT:
+		loop_stop(edge->loop);
+		break;
+	}
+}
+
+static void carry_out(struct edge *edge)
+{
+	edge->carrying = true;
+	for (size_t done = 0; done < edge->fx.count; done++) {
+		struct flow_effect fx = edge->fx.list[done];
+
+		do_effect(edge, &fx);
+	}
+	edge->carrying = false;
+	flow_clear(&edge->fx);
+	tier_reap(edge->tier);
+}
+
+/* Settings. */
+
+static int load_settings(struct edge *edge, struct vm_settings *out,
+			 struct error *err)
+{
+	const char *path = getenv(edge->dialect->settings_variable);
+	struct buf text = { 0 };
+	struct stat st;
+	int code;
+
+	if (!path)
+		return error_set(err, ERR_SETTINGS, "%s is not set",
+				 edge->dialect->settings_variable);
+	if (!stat(path, &st))
+		edge->settings_time = st.st_mtim;
+	code = file_read(path, SETTINGS_MAX, &text, err);
+	if (!code)
+		code = edge->dialect->settings(buf_str(&text), out, edge->pool,
+					       err);
+	buf_free(&text);
+	return code;
+}
+
+static void reload(struct edge *edge, const char *why)
+{
+	struct vm_settings settings;
+	struct error err = { 0 };
+
+	/* A file that is half written must not end a node that serves. */
+	if (load_settings(edge, &settings, &err)) {
+		LOG_ERR("settings kept as they were: %s; %s", err.text,
+			error_info(err.code)->remedy);
+		return;
+	}
+	LOG_INFO("settings read again: %s", why);
+	edge->settings = settings;
+	feed(edge, (struct flow_event){ .type = FLOW_SETTINGS,
+					.settings = &edge->settings });
+}
+
+static void look_at_settings(struct edge *edge, int64_t now)
+{
+	const char *path = getenv(edge->dialect->settings_variable);
+	struct stat st;
+
+	if (now < edge->settings_looked_at + SETTINGS_LOOK_US)
+		return;
+	edge->settings_looked_at = now;
+	if (stat(path, &st))
+		return;
+	if (st.st_mtim.tv_sec != edge->settings_time.tv_sec ||
+	    st.st_mtim.tv_nsec != edge->settings_time.tv_nsec)
+		reload(edge, "the file changed");
+}
+
+static void on_signal(void *ctx, int events)
+{
+	struct edge *edge = ctx;
+	struct signalfd_siginfo info;
+
+	(void)events;
+	if (read(edge->signal_fd, &info, sizeof(info)) != sizeof(info))
+		return;
+	if (info.ssi_signo == SIGHUP) {
+		reload(edge, "SIGHUP");
+		return;
+	}
+	LOG_INFO("signal %u: planned stop", info.ssi_signo);
+	http_closing(edge->callers, true);
+	feed(edge, (struct flow_event){ .type = FLOW_STOP });
+}
+
+static void watch_signals(struct edge *edge)
+{
+	sigset_t set;
+
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	edge->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	edge->signals = loop_add(edge->loop, edge->signal_fd, APR_POLLIN,
+				 on_signal, edge);
+}
+
+/* Life. */
+
+static void on_round(void *ctx)
+{
+	struct edge *edge = ctx;
+	int64_t now = loop_now();
+
+	if (now >= tier_wake_at(edge->tier))
+		feed(edge, (struct flow_event){ .type = FLOW_TICK });
+	look_at_settings(edge, now);
+}
+
+static int64_t wait_us(void *ctx)
+{
+	struct edge *edge = ctx;
+	int64_t left = tier_wake_at(edge->tier) - loop_now();
+
+	return left > 0 ? left : 0;
+}
+
+static int listen_all(struct edge *edge, uint16_t metrics_port,
+		      struct error *err)
+{
+	struct http_handler callers = { on_caller, on_caller_gone, edge };
+	struct http_handler health = { on_health, NULL, edge };
+	struct http_handler metrics = { on_metrics, NULL, edge };
+	struct buf addr = { 0 };
+
+	edge->callers = http_listen(edge->loop, edge->settings.callers,
+				    BODY_MAX, callers, err);
+	if (!edge->callers)
+		return err->code;
+	edge->health = http_listen(edge->loop, edge->settings.ready, BODY_MAX,
+				   health, err);
+	if (!edge->health)
+		return err->code;
+	if (!metrics_port)
+		return 0;
+	buf_printf(&addr, "%.*s:%u", STR_ARG(edge->settings.ip), metrics_port);
+	edge->metrics =
+		http_listen(edge->loop, buf_str(&addr), BODY_MAX, metrics, err);
+	buf_free(&addr);
+	return edge->metrics ? 0 : err->code;
+}
+
+static uint64_t random_u64(void)
+{
+	uint64_t value = 0;
+
+	if (getrandom(&value, sizeof(value), 0) != sizeof(value)) {
+		LOG_ERR("getrandom: %s", strerror(errno));
+		abort();
+	}
+	return value;
+}
+
+static int start(struct edge *edge, const struct edge_options *opt,
+		 struct error *err)
+{
+	struct tier_options tier = { .dialect = edge->dialect,
+				     .settings = &edge->settings,
+				     .incarnation = random_u64() >> 1 | 1,
+				     .seed = random_u64() };
+	int code = load_settings(edge, &edge->settings, err);
+
+	if (code)
+		return code;
+	code = listen_all(edge, opt->metrics_port, err);
+	if (code)
+		return code;
+	edge->upstream = upstream_create(
+		edge->loop, (struct upstream_handler){ on_upstream, edge });
+	watch_signals(edge);
+	edge->tier = tier_create(&tier, loop_now(), &edge->fx);
+	loop_hook(edge->loop, (struct loop_hook){ on_round, wait_us, edge });
+	return 0;
+}
+
+static void flush_answers(struct edge *edge)
+{
+	int64_t until = loop_now() + FLUSH_US;
+
+	http_quiesce(edge->callers);
+	while (loop_now() < until)
+		loop_step(edge->loop);
+}
+
+static void destroy(struct edge *edge)
+{
+	if (edge->metrics)
+		http_destroy(edge->metrics);
+	if (edge->health)
+		http_destroy(edge->health);
+	if (edge->callers)
+		http_destroy(edge->callers);
+	if (edge->upstream)
+		upstream_destroy(edge->upstream);
+	if (edge->tier)
+		tier_destroy(edge->tier);
+	if (edge->signals) {
+		loop_del(edge->signals);
+		close(edge->signal_fd);
+	}
+	loop_destroy(edge->loop);
+	flow_effects_free(&edge->fx);
+	apr_pool_destroy(edge->pool);
+}
+
+int edge_run(const struct edge_options *opt)
+{
+	struct edge edge = { .dialect = opt->dialect };
+	struct error err = { 0 };
+	int code;
+
+	head_dialect(opt->dialect);
+	apr_pool_create(&edge.pool, NULL);
+	flow_effects_init(&edge.fx, edge.pool);
+	edge.requests = hash_make(edge.pool);
+	edge.loop = loop_create(edge.pool);
+	code = start(&edge, opt, &err);
+	if (!code) {
+		LOG_INFO("serving callers on %.*s",
+			 STR_ARG(edge.settings.callers));
+		loop_run(edge.loop);
+		flush_answers(&edge);
+		LOG_INFO("stopped");
+	} else {
+		LOG_ERR("%s; %s", err.text, error_info(code)->remedy);
+	}
+	destroy(&edge);
+	return code ? 1 : 0;
+}
--- /dev/null
+++ b/flow.c
@@ -0,0 +1,43 @@
+#include "flow.h"
+
+#include <stdlib.h>
+
+#include "xmalloc.h"
+
+enum {
+	FIRST_CAP = 64,
+};
+
+void flow_effects_init(struct flow_effects *fx, apr_pool_t *parent)
+{
+	*fx = (struct flow_effects){ 0 };
+	apr_pool_create(&fx->pool, parent);
+}
+
+struct flow_effect *flow_add(struct flow_effects *fx,
+			     enum flow_effect_type type)
+{
+	struct flow_effect *effect;
+
+	if (fx->count == fx->cap) {
+		fx->cap = fx->cap ? fx->cap * 2 : FIRST_CAP;
+		fx->list = xrealloc(fx->list, fx->cap * sizeof(*fx->list));
+	}
+	effect = &fx->list[fx->count++];
+	*effect = (struct flow_effect){ .type = type };
+	return effect;
+}
+
+void flow_clear(struct flow_effects *fx)
+{
+	if (!fx->count)
+		return;
+	fx->count = 0;
+	apr_pool_clear(fx->pool);
+}
+
+void flow_effects_free(struct flow_effects *fx)
+{
+	free(fx->list);
+	apr_pool_destroy(fx->pool);
+}
--- /dev/null
+++ b/head.c
@@ -0,0 +1,180 @@
+#include "head.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+enum {
+	TIME_TEXT_MAX = 24,
+	TIME_MAX_MS = 86400000,
+};
+
+static const struct dialect *kept_for;
+
+/* These concern one connection, or are written anew for the next one. */
+static const struct str hop_names[] = {
+	{ "Connection", 10 },
+	{ "Keep-Alive", 10 },
+	{ "Transfer-Encoding", 17 },
+	{ "Content-Length", 14 },
+	{ "TE", 2 },
+	{ "Trailer", 7 },
+	{ "Upgrade", 7 },
+	{ "Proxy-Connection", 16 },
+	{ "Expect", 6 },
+	{ "Host", 4 },
+	{ "Date", 4 },
+};
+
+static bool name_is(struct str a, struct str b)
+{
+	return a.len == b.len && !strncasecmp(a.ptr, b.ptr, a.len);
+}
+
+static bool is_hop(struct str name)
+{
+	for (size_t i = 0; i < sizeof(hop_names) / sizeof(*hop_names); i++)
+		if (name_is(name, hop_names[i]))
+			return true;
+	return false;
+}
+
+void head_dialect(const struct dialect *dialect)
+{
+	kept_for = dialect;
+}
+
+bool head_keep(struct str name)
+{
+	const struct header_names *names = &kept_for->names;
+
+	return !is_hop(name) && !name_is(name, names->request_id) &&
+	       !name_is(name, names->time_left) &&
+	       !name_is(name, names->expected);
+}
+
+static void add_line(struct buf *out, struct str name, struct str value)
+{
+	buf_str_add(out, name);
+	buf_str_add(out, STR(": "));
+	buf_str_add(out, value);
+	buf_str_add(out, STR("\r\n"));
+}
+
+static void add_number(struct buf *out, struct str name, int64_t value)
+{
+	char text[TIME_TEXT_MAX];
+	int len = snprintf(text, sizeof(text), "%lld", (long long)value);
+
+	add_line(out, name, (struct str){ text, (size_t)len });
+}
+
+void head_request(const struct dialect *dialect, const struct flow_effect *fx,
+		  struct buf *out)
+{
+	const struct flow_request *request = fx->request;
+	const struct header_names *names = &dialect->names;
+	int64_t left_ms = fx->time_left_us / 1000;
+
+	buf_str_add(out, request->method);
+	buf_str_add(out, STR(" "));
+	buf_str_add(out, request->uri);
+	buf_str_add(out, STR(" HTTP/1.1\r\n"));
+	add_line(out, STR("Host"), request->host);
+	if (request->request_id.len)
+		add_line(out, names->request_id, request->request_id);
+	add_number(out, names->time_left, left_ms > 0 ? left_ms : 1);
+	add_line(out, names->expected, fx->expected);
+	buf_str_add(out, request->headers);
+	if (request->body.len || !str_eq(request->method, STR("GET")))
+		add_number(out, STR("Content-Length"),
+			   (int64_t)request->body.len);
+	buf_str_add(out, STR("\r\n"));
+}
+
+static struct str find(const struct upstream_reply *reply, struct str name)
+{
+	return header_find(reply->headers, reply->nheaders, name);
+}
+
+/* The text of a header ends where the next begins, so it is copied. */
+static double number(struct str value, double other)
+{
+	char text[TIME_TEXT_MAX];
+	char *end;
+	double got;
+
+	if (!value.len || value.len >= sizeof(text))
+		return other;
+	memcpy(text, value.ptr, value.len);
+	text[value.len] = '\0';
+	got = strtod(text, &end);
+	return end == text || got < 0 || got > TIME_MAX_MS ? other : got;
+}
+
+int64_t head_time_left(struct str value)
+{
+	double ms = number(value, -1);
+
+	return ms < 0 ? -1 : (int64_t)(ms * 1e3);
+}
+
+static void read_load(struct str value, struct flow_reply *out)
+{
+	char text[TIME_TEXT_MAX];
+
+	out->running = -1;
+	out->waiting = -1;
+	if (!value.len || value.len >= sizeof(text))
+		return;
+	memcpy(text, value.ptr, value.len);
+	text[value.len] = '\0';
+	if (sscanf(text, "%d,%d", &out->running, &out->waiting) != 2)
+		out->running = out->waiting = -1;
+}
+
+void head_reply(const struct dialect *dialect,
+		const struct upstream_reply *reply, struct flow_reply *out,
+		struct buf *lines)
+{
+	const struct header_names *names = &dialect->names;
+	struct str cold;
+
+	*out = (struct flow_reply){ .result = reply->result,
+				    .status = reply->status,
+				    .cold_us = -1,
+				    .running = -1,
+				    .waiting = -1 };
+	if (reply->result != FETCH_OK)
+		return;
+	out->signature = find(reply, names->signature);
+	out->encoded = find(reply, STR("Content-Encoding")).len > 0;
+	out->other = reply->status == 421;
+	out->not_run = out->other || find(reply, names->not_run).len > 0;
+	cold = find(reply, names->cold_left);
+	out->cold_us = head_time_left(cold);
+	read_load(find(reply, names->load), out);
+	out->body = reply->body;
+	for (size_t i = 0; i < reply->nheaders; i++)
+		if (!is_hop(reply->headers[i].name))
+			add_line(lines, reply->headers[i].name,
+				 reply->headers[i].value);
+	out->headers = buf_str(lines);
+}
+
+void head_answer(const struct dialect *dialect, const struct flow_effect *fx,
+		 struct buf *out)
+{
+	char text[TIME_TEXT_MAX];
+	int len;
+
+	buf_str_add(out, fx->headers);
+	if (fx->merged) {
+		add_line(out, dialect->names.signatures, fx->signatures);
+		add_number(out, dialect->names.missing, (int64_t)fx->missing);
+	}
+	if (!fx->retry_after_us)
+		return;
+	len = snprintf(text, sizeof(text), "%.3f",
+		       (double)fx->retry_after_us / 1e6);
+	add_line(out, STR("Retry-After"), (struct str){ text, (size_t)len });
+}
--- a/http.c
+++ b/http.c
@@ -30,6 +30,8 @@
 	bool aborted;
 	bool too_large;
 	int status;
+	struct buf uri;
+	struct buf reply_headers;
 	struct buf reply;
 };
 
@@ -66,7 +68,8 @@
 	MHD_resume_connection(p->conn);
 }
 
-void http_reply(struct http_request *req, int status, struct str body)
+void http_respond(struct http_request *req, int status, struct str headers,
+		  struct str body)
 {
 	struct pending *p = (struct pending *)req;
 
@@ -74,10 +77,17 @@
 		return;
 	p->answered = true;
 	p->status = status;
+	buf_str_add(&p->reply_headers, headers);
 	buf_str_add(&p->reply, body);
 	resume(p);
 }
 
+void http_reply(struct http_request *req, int status, struct str body)
+{
+	http_respond(req, status, STR("Content-Type: application/json\r\n"),
+		     body);
+}
+
 void http_abort(struct http_request *req)
 {
 	struct pending *p = (struct pending *)req;
@@ -127,6 +137,25 @@
 			    on_caller, p);
 }
 
+/* Lines of "Name: value"; their ends become the ends of strings. */
+static void add_headers(struct MHD_Response *response, struct buf *lines)
+{
+	char *at = lines->ptr;
+	char *end = at + lines->len;
+
+	while (at < end) {
+		char *eol = memchr(at, '\r', (size_t)(end - at));
+		char *colon = memchr(at, ':', (size_t)(end - at));
+
+		if (!eol || !colon || colon > eol)
+			return;
+		*eol = '\0';
+		*colon = '\0';
+		MHD_add_response_header(response, at, colon + 2);
+		at = eol + 2;
+	}
+}
+
 static enum MHD_Result queue_reply(struct pending *p)
 {
 	enum MHD_Result result;
@@ -136,7 +165,7 @@
 		return MHD_NO;
 	response = MHD_create_response_from_buffer(p->reply.len, p->reply.ptr,
 						   MHD_RESPMEM_MUST_COPY);
-	MHD_add_response_header(response, "Content-Type", "application/json");
+	add_headers(response, &p->reply_headers);
 	if (p->req.server->closing || p->too_large)
 		MHD_add_response_header(response, "Connection", "close");
 	result = MHD_queue_response(p->conn, (unsigned int)p->status, response);
@@ -170,23 +199,70 @@
 	*state = NULL;
 }
 
-static struct pending *pending_create(struct http_server *server,
-				      struct MHD_Connection *conn,
-				      const char *method, const char *path)
+/* The request line has come; MHD passes what is returned on as the state. */
+static void *on_request_line(void *ctx, const char *uri,
+			     struct MHD_Connection *conn)
 {
+	struct http_server *server = ctx;
 	struct pending *p = xcalloc(1, sizeof(*p));
-	const char *remaining = MHD_lookup_connection_value(
-		conn, MHD_HEADER_KIND, "X-Remaining-Ms");
 
 	p->conn = conn;
 	p->req.id = ++last_id;
 	p->req.server = server;
+	buf_str_add(&p->uri, str_of(uri));
+	server->open++;
+	return p;
+}
+
+static void note_head(struct pending *p, const char *method, const char *path)
+{
+	const char *remaining = MHD_lookup_connection_value(
+		p->conn, MHD_HEADER_KIND, "X-Remaining-Ms");
+
 	p->req.method = str_of(method);
 	p->req.path = str_of(path);
-	p->req.first = is_first(conn);
+	p->req.uri = buf_str(&p->uri);
+	p->req.first = is_first(p->conn);
 	p->req.remaining_ms = remaining ? strtoll(remaining, NULL, 10) : -1;
-	server->open++;
-	return p;
+}
+
+struct str http_header(struct http_request *req, struct str name)
+{
+	struct pending *p = (struct pending *)req;
+
+	return str_of(MHD_lookup_connection_value(p->conn, MHD_HEADER_KIND,
+						  name.ptr));
+}
+
+/** struct header_copy - what http_headers() carries through MHD's walk */
+struct header_copy {
+	bool (*keep)(struct str name);
+	struct buf *out;
+};
+
+static enum MHD_Result copy_header(void *ctx, enum MHD_ValueKind kind,
+				   const char *name, const char *value)
+{
+	struct header_copy *copy = ctx;
+
+	(void)kind;
+	if (copy->keep(str_of(name)))
+		buf_printf(copy->out, "%s: %s\r\n", name, value ? value : "");
+	return MHD_YES;
+}
+
+void http_headers(struct http_request *req, bool (*keep)(struct str name),
+		  struct buf *out)
+{
+	struct pending *p = (struct pending *)req;
+	struct header_copy copy = { keep, out };
+
+	MHD_get_connection_values(p->conn, MHD_HEADER_KIND, copy_header, &copy);
+}
+
+void http_max_body(struct http_server *server, size_t max_body)
+{
+	server->max_body = max_body;
 }
 
 static void hand_over(struct pending *p)
@@ -216,8 +292,8 @@
 	struct pending *p = *state;
 
 	(void)version;
-	if (!p) {
-		*state = pending_create(server, conn, method, path);
+	if (!p->req.method.len) {
+		note_head(p, method, path);
 		return MHD_YES;
 	}
 	if (*size) {
@@ -254,6 +330,8 @@
 	if (p->handed && !p->answered && server->handler.gone)
 		server->handler.gone(server->handler.ctx, &p->req);
 	buf_free(&p->body);
+	buf_free(&p->uri);
+	buf_free(&p->reply_headers);
 	buf_free(&p->reply);
 	free(p);
 	server->open--;
@@ -316,6 +394,7 @@
 	server->daemon = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, port, NULL, NULL,
 		on_request, server, MHD_OPTION_SOCK_ADDR, &sin,
+		MHD_OPTION_URI_LOG_CALLBACK, on_request_line, server,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
 		MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
--- a/http.h
+++ b/http.h
@@ -16,6 +16,7 @@
  * struct http_request - a caller's request, from its last byte to its answer
  * @id: unique within the process
  * @method, @path, @body: as received
+ * @uri: path and query, as they stood in the request line
  * @first: first request of its connection
  * @remaining_ms: of the X-Remaining-Ms header, -1 when there is none
  */
@@ -23,6 +24,7 @@
 	uint64_t id;
 	struct str method;
 	struct str path;
+	struct str uri;
 	struct str body;
 	bool first;
 	int64_t remaining_ms;
@@ -44,6 +46,18 @@
 				size_t max_body, struct http_handler handler,
 				struct error *err);
 void http_reply(struct http_request *req, int status, struct str body);
+/**
+ * http_respond() - reply with header lines, "Name: value\r\n" each
+ */
+void http_respond(struct http_request *req, int status, struct str headers,
+		  struct str body);
+/** http_header() - value of a request's header; empty when absent. */
+struct str http_header(struct http_request *req, struct str name);
+/** http_headers() - append the header lines for which @keep says so. */
+void http_headers(struct http_request *req, bool (*keep)(struct str name),
+		  struct buf *out);
+/** http_max_body() - largest body that is taken from now on, bytes. */
+void http_max_body(struct http_server *server, size_t max_body);
 /** http_abort() - close the connection without an answer. */
 void http_abort(struct http_request *req);
 /** http_query() - value of a query parameter; empty when absent. */
--- /dev/null
+++ b/merge.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "call.h"
+
+/**
+ * DOC: questions over many shards
+ *
+ * One target of each shard is asked; the greatest records of the parts are the
+ * answer. A shard whose target is late is asked again at another target. At
+ * the soft deadline what is there is answered if it is enough.
+ */
+extern const struct call_kind merge_kind;
+
+/** merge_enough() - the share of shards that are in makes an answer. */
+bool merge_enough(const struct route *route, size_t done);
--- /dev/null
+++ b/note.c
@@ -0,0 +1,159 @@
+#include "note.h"
+
+enum {
+	SECOND_US = 1000000,
+	/* A line costs some 30 us of a small core: 40 are a thousandth of it.
+	 */
+	LINES_A_SECOND = 40,
+};
+
+static const char *const kind_names[NOTE_KINDS] = {
+	[NOTE_FINAL] = "final",
+	[NOTE_TRIED] = "tried",
+	[NOTE_BELIEF] = "belief",
+};
+
+static void put(struct note_book *notes, struct buf *line)
+{
+	struct flow_effect *fx = flow_add(notes->fx, FLOW_LOG);
+
+	fx->text = str_dup(notes->fx->pool, buf_str(line));
+	buf_free(line);
+}
+
+static void tell_left_out(struct note_book *notes)
+{
+	for (int kind = 0; kind < NOTE_KINDS; kind++) {
+		struct buf line = { 0 };
+
+		notes->lines[kind] = 0;
+		if (!notes->left_out[kind])
+			continue;
+		buf_printf(&line,
+			   "{\"note\":\"left_out\",\"of\":\"%s\","
+			   "\"lines\":%d}",
+			   kind_names[kind], notes->left_out[kind]);
+		notes->left_out[kind] = 0;
+		put(notes, &line);
+	}
+}
+
+static bool admit(struct note_book *notes, int64_t now, enum note_kind kind)
+{
+	if (now - notes->second >= SECOND_US) {
+		notes->second = now;
+		tell_left_out(notes);
+	}
+	if (notes->lines[kind] < LINES_A_SECOND) {
+		notes->lines[kind]++;
+		return true;
+	}
+	notes->left_out[kind]++;
+	return false;
+}
+
+static void begin(struct note_book *notes, struct buf *line, int64_t now,
+		  enum note_kind kind)
+{
+	buf_printf(line, "{\"note\":\"%s\",\"version\":%llu,\"revision\":%llu",
+		   kind_names[kind], (unsigned long long)notes->version,
+		   (unsigned long long)notes->revision);
+	buf_printf(line, ",\"store_age_ms\":%lld",
+		   notes->read_at ? (long long)(now - notes->read_at) / 1000
+				  : -1LL);
+}
+
+static void add_call(struct buf *line, int64_t now, const struct call *call)
+{
+	buf_printf(line, ",\"request\":");
+	buf_json_add(line, call->request.request_id);
+	buf_printf(line, ",\"route\":");
+	buf_json_add(line, call->route->name);
+	buf_printf(line, ",\"after_ms\":%.1f,\"left_ms\":%.1f",
+		   (double)(now - call->start) / 1000,
+		   (double)(call->give_up_at - now) / 1000);
+	if (call->nparts > 1)
+		buf_printf(line, ",\"shards\":%zu,\"in\":%zu", call->nparts,
+			   call->ndone);
+}
+
+void note_final(struct note_book *notes, int64_t now, const struct call *call,
+		const struct final *final)
+{
+	struct buf line = { 0 };
+	bool late = now - call->start > call->route->goal_us;
+
+	notes->finals[final->status / 100 % 6]++;
+	if (final->missing)
+		notes->partial++;
+	latency_add(&notes->latency, now - call->start);
+	if (final->status / 100 == 2 && !late && !final->missing)
+		return;
+	if (!admit(notes, now, NOTE_FINAL))
+		return;
+	begin(notes, &line, now, NOTE_FINAL);
+	add_call(&line, now, call);
+	buf_printf(&line, ",\"status\":%d,\"why\":\"%s\"}", final->status,
+		   final->why);
+	put(notes, &line);
+}
+
+void note_gone(struct note_book *notes, int64_t now, const struct call *call)
+{
+	struct buf line = { 0 };
+
+	notes->finals[0]++;
+	if (!admit(notes, now, NOTE_FINAL))
+		return;
+	begin(notes, &line, now, NOTE_FINAL);
+	add_call(&line, now, call);
+	buf_printf(&line, ",\"why\":\"the caller closed\"}");
+	put(notes, &line);
+}
+
+void note_tried(struct note_book *notes, int64_t now, const struct call *call,
+		const struct attempt *attempt, const struct flow_reply *reply)
+{
+	static const char *const results[] = {
+		[FETCH_OK] = "reply",
+		[FETCH_REFUSED] = "no connection",
+		[FETCH_BROKEN] = "connection broke",
+		[FETCH_TIMEOUT] = "no reply in time",
+		[FETCH_MALFORMED] = "reply is no HTTP",
+	};
+	struct buf line = { 0 };
+
+	if (!admit(notes, now, NOTE_TRIED))
+		return;
+	begin(notes, &line, now, NOTE_TRIED);
+	add_call(&line, now, call);
+	buf_printf(&line, ",\"target\":");
+	buf_json_add(&line, attempt->target->id);
+	buf_printf(&line,
+		   ",\"try\":%zu,\"took_ms\":%.1f,\"result\":\"%s\","
+		   "\"status\":%d,\"ran\":%s}",
+		   call->parts[attempt->part].ntried,
+		   (double)(now - attempt->sent_at) / 1000,
+		   results[reply->result], reply->status,
+		   reply->not_run || reply->other ||
+				   reply->result == FETCH_REFUSED
+			   ? "false"
+			   : "true");
+	put(notes, &line);
+}
+
+void note_belief(struct note_book *notes, int64_t now, const char *what,
+		 struct str who, const char *why, uint64_t version)
+{
+	struct buf line = { 0 };
+
+	if (!admit(notes, now, NOTE_BELIEF))
+		return;
+	begin(notes, &line, now, NOTE_BELIEF);
+	buf_printf(&line, ",\"what\":\"%s\",\"who\":", what);
+	buf_json_add(&line, who);
+	buf_printf(&line, ",\"why\":");
+	buf_json_add(&line, str_of(why));
+	buf_printf(&line, ",\"at\":%llu}", (unsigned long long)version);
+	put(notes, &line);
+}
--- /dev/null
+++ b/reader.c
@@ -0,0 +1,156 @@
+#include "reader.h"
+
+enum {
+	/*
+	 * A call waits this long at the store. A change reaches a node whose
+	 * call has gone silent after this and the slack, a page and a half of
+	 * reads: well within the three seconds of a drain.
+	 */
+	WATCH_US = 1200000,
+	WATCH_SLACK_US = 400000,
+	RANGE_US = 600000,
+	/* After a failure, doubled with each in a row up to the most. */
+	PAUSE_US = 100000,
+	PAUSE_MOST_US = 400000,
+};
+
+void reader_init(struct reader *reader, struct directory *dir,
+		 struct flow_effects *fx, int64_t now)
+{
+	*reader = (struct reader){
+		.dir = dir, .fx = fx, .next_at = now, .need_range = true
+	};
+}
+
+void reader_destroy(struct reader *reader)
+{
+	buf_free(&reader->after);
+}
+
+static void call_range(struct reader *reader)
+{
+	const struct dialect *dialect = reader->dir->dialect;
+	struct flow_effect *fx = flow_add(reader->fx, FLOW_READ);
+
+	reader->state = READER_RANGE;
+	fx->read = STORE_RANGE;
+	fx->prefix = dialect->prefixes[reader->prefix];
+	fx->after = str_dup(reader->fx->pool, buf_str(&reader->after));
+	fx->timeout_us = RANGE_US;
+}
+
+static void call_watch(struct reader *reader)
+{
+	struct flow_effect *fx = flow_add(reader->fx, FLOW_READ);
+
+	reader->state = READER_WATCH;
+	fx->read = STORE_WATCH;
+	fx->revision = reader->dir->revision;
+	fx->time_left_us = WATCH_US;
+	fx->timeout_us = WATCH_US + WATCH_SLACK_US;
+}
+
+static void begin_range(struct reader *reader)
+{
+	reader->prefix = 0;
+	reader->after.len = 0;
+	reader->first_revision = 0;
+	directory_round(reader->dir);
+	call_range(reader);
+}
+
+void reader_tick(struct reader *reader, int64_t now)
+{
+	if (reader->state != READER_IDLE || now < reader->next_at)
+		return;
+	if (reader->need_range)
+		begin_range(reader);
+	else
+		call_watch(reader);
+}
+
+static void failed(struct reader *reader, int64_t now)
+{
+	int64_t pause = PAUSE_US;
+
+	if (!reader->failures++)
+		note_belief(reader->dir->notes, now, "store lost", STR("store"),
+			    "a call failed", reader->dir->revision);
+	for (int i = 1; i < reader->failures && pause < PAUSE_MOST_US; i++)
+		pause *= 2;
+	roster_store_lost(reader->dir->roster, now);
+	reader->state = READER_IDLE;
+	reader->next_at = now + pause;
+}
+
+static void heard(struct reader *reader, int64_t now)
+{
+	if (reader->failures)
+		note_belief(reader->dir->notes, now, "store back", STR("store"),
+			    "it answers again", reader->dir->revision);
+	reader->failures = 0;
+	reader->dir->read_at = now;
+	reader->dir->notes->read_at = now;
+}
+
+static void took_page(struct reader *reader, const struct store_reply *page,
+		      int64_t now)
+{
+	const struct dialect *dialect = reader->dir->dialect;
+
+	if (!reader->first_revision)
+		reader->first_revision = page->revision;
+	directory_apply(reader->dir, page->items, page->count, now);
+	reader->after.len = 0;
+	if (page->more && page->count) {
+		buf_str_add(&reader->after, page->items[page->count - 1].key);
+	} else if (++reader->prefix == dialect->nprefixes) {
+		/*
+		 * Pages are no snapshot: what changed after the first is taken
+		 * again from the changes since.
+		 */
+		directory_whole(reader->dir, reader->first_revision, now);
+		reader->need_range = false;
+		reader->whole = true;
+		call_watch(reader);
+		return;
+	}
+	call_range(reader);
+}
+
+void reader_reply(struct reader *reader, const struct flow_store *reply,
+		  int64_t now)
+{
+	if (reply->lost_history) {
+		reader->need_range = true;
+		reader->state = READER_IDLE;
+		reader->next_at = now;
+		note_belief(reader->dir->notes, now, "store history lost",
+			    STR("store"), "all keys are read again",
+			    reader->dir->revision);
+		return;
+	}
+	if (!reply->ok) {
+		/* A page of a read that broke off may be of another time. */
+		if (reply->call == STORE_RANGE)
+			reader->need_range = true;
+		failed(reader, now);
+		return;
+	}
+	heard(reader, now);
+	if (reply->call == STORE_RANGE) {
+		took_page(reader, reply->reply, now);
+		return;
+	}
+	directory_apply(reader->dir, reply->reply->items, reply->reply->count,
+			now);
+	if (reply->reply->revision > reader->dir->revision)
+		reader->dir->revision = reply->reply->revision;
+	reader->dir->notes->revision = reader->dir->revision;
+	call_watch(reader);
+}
+
+int64_t reader_wake_at(const struct reader *reader)
+{
+	return reader->state == READER_IDLE ? reader->next_at : INT64_MAX;
+}
--- /dev/null
+++ b/records.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "str.h"
+
+/**
+ * DOC: the greatest records of many parts
+ *
+ * A record is RECORD_SIZE bytes, compared byte by byte. Equal ones all count.
+ */
+
+enum {
+	RECORD_SIZE = 16,
+};
+
+/**
+ * struct records - the greatest @cap records seen, greatest first
+ * @bytes: @cap x RECORD_SIZE, the first @count in use
+ */
+struct records {
+	char *bytes;
+	size_t count;
+	size_t cap;
+};
+
+void records_init(struct records *records, size_t cap, apr_pool_t *pool);
+/** records_take() - a part's body; a remainder that is no record is left. */
+void records_take(struct records *records, struct str body);
+struct str records_str(const struct records *records);
--- /dev/null
+++ b/roster.c
@@ -0,0 +1,428 @@
+#include "roster.h"
+
+#include <stdlib.h>
+
+#include "xmalloc.h"
+
+enum {
+	/* First guess of a reply's time, until one has been seen. */
+	SERVICE_GUESS_US = 10000,
+	/* A reply over this multiple of the usual time is overdue. */
+	OVERDUE_TIMES = 2,
+	/*
+	 * What a request to a target with an overdue reply is expected to wait
+	 * on top: the rest of a pause, which lasts a tenth of a second or so.
+	 */
+	OVERDUE_WAIT_US = 60000,
+	/*
+	 * Another failure domain costs two more hops, and bytes between
+	 * domains that are paid for: worth a wait of this long.
+	 */
+	FAR_WAIT_US = 6000,
+	/*
+	 * Slow targets must be seen to have recovered: without requests the
+	 * smoothed time halves each second, until one tries it again.
+	 */
+	FORGET_HALF_US = 1000000,
+	/* A target that failed rests, doubled with each failure in a row. */
+	REST_US = 100000,
+	REST_MAX_US = 1600000,
+	/* One that was full rests for about the time of a request. */
+	REST_FULL_US = 15000,
+	/*
+	 * Entries that lapsed while the store was away come back within two
+	 * seconds of its return if their target lives.
+	 */
+	LAPSE_US = 2000000,
+	SECOND_US = 1000000,
+};
+
+/* Weight of a new sample in the smoothed time: follows in about five. */
+static const double SMOOTHING = 0.2;
+
+struct group {
+	uint64_t service;
+	struct live_target *first;
+	int cold_per_second;
+};
+
+struct roster {
+	apr_pool_t *pool;
+	struct str domain;
+	apr_hash_t *targets; /* key -> struct live_target */
+	apr_hash_t *groups; /* service -> struct group */
+	apr_hash_t *out; /* hash of a failure domain taken out */
+	int64_t store_lost_at;
+	size_t count;
+};
+
+struct roster *roster_create(apr_pool_t *parent, struct str domain)
+{
+	apr_pool_t *pool;
+	struct roster *roster;
+
+	apr_pool_create(&pool, parent);
+	roster = apr_pcalloc(pool, sizeof(*roster));
+	roster->pool = pool;
+	roster->domain = str_dup(pool, domain);
+	roster->targets = hash_make(pool);
+	roster->groups = hash_make(pool);
+	roster->out = hash_make(pool);
+	roster->store_lost_at = INT64_MIN / 2;
+	return roster;
+}
+
+static void free_strings(struct live_target *target)
+{
+	str_free(target->id);
+	str_free(target->addr);
+	str_free(target->domain);
+}
+
+void roster_destroy(struct roster *roster)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, roster->targets); it;
+	     it = apr_hash_next(it)) {
+		void *target;
+
+		apr_hash_this(it, NULL, NULL, &target);
+		free_strings(target);
+		free(target);
+	}
+	for (it = apr_hash_first(NULL, roster->groups); it;
+	     it = apr_hash_next(it)) {
+		void *group;
+
+		apr_hash_this(it, NULL, NULL, &group);
+		free(group);
+	}
+	apr_pool_destroy(roster->pool);
+}
+
+static struct group *group_get(struct roster *roster, uint64_t service)
+{
+	struct group *group =
+		apr_hash_get(roster->groups, &service, sizeof(service));
+
+	if (group)
+		return group;
+	group = xcalloc(1, sizeof(*group));
+	group->service = service;
+	apr_hash_set(roster->groups, &group->service, sizeof(group->service),
+		     group);
+	return group;
+}
+
+static void unlink_target(struct roster *roster, struct live_target *target)
+{
+	struct live_target **at = &group_get(roster, target->service)->first;
+
+	while (*at && *at != target)
+		at = &(*at)->next;
+	if (*at)
+		*at = target->next;
+}
+
+static void forget(struct roster *roster, struct live_target *target)
+{
+	unlink_target(roster, target);
+	apr_hash_set(roster->targets, &target->key, sizeof(target->key), NULL);
+	free_strings(target);
+	free(target);
+	roster->count--;
+}
+
+static struct live_target *add(struct roster *roster, uint64_t key,
+			       const struct target_entry *entry)
+{
+	struct live_target *target = xcalloc(1, sizeof(*target));
+	struct group *group = group_get(roster, entry->service);
+
+	target->key = key;
+	target->id = str_keep(entry->id);
+	target->addr = str_keep(entry->addr);
+	target->domain = str_keep(entry->domain);
+	target->near = str_eq(entry->domain, roster->domain);
+	target->service = entry->service;
+	target->born_ms = entry->born_ms;
+	target->service_us = SERVICE_GUESS_US;
+	target->next = group->first;
+	group->first = target;
+	apr_hash_set(roster->targets, &target->key, sizeof(target->key),
+		     target);
+	roster->count++;
+	return target;
+}
+
+/* The same id on another place, or started anew, is another target. */
+static bool is_same(const struct live_target *target,
+		    const struct target_entry *entry)
+{
+	return target->service == entry->service &&
+	       target->born_ms == entry->born_ms &&
+	       str_eq(target->addr, entry->addr);
+}
+
+void roster_put(struct roster *roster, const struct target_entry *entry,
+		int64_t now)
+{
+	uint64_t key = str_hash(entry->id);
+	struct live_target *target =
+		apr_hash_get(roster->targets, &key, sizeof(key));
+
+	if (target && !is_same(target, entry)) {
+		/* Requests under way still point to it. */
+		if (target->inflight) {
+			unlink_target(roster, target);
+			apr_hash_set(roster->targets, &target->key,
+				     sizeof(target->key), NULL);
+			target->service = 0;
+			target->listed = false;
+			roster->count--;
+		} else {
+			forget(roster, target);
+		}
+		target = NULL;
+	}
+	if (!target)
+		target = add(roster, key, entry);
+	target->listed = true;
+	target->slots = entry->slots;
+	target->cold_until = entry->cold_us ? now + entry->cold_us : 0;
+	if (!entry->leaving)
+		target->left_at = 0;
+	else if (!target->left_at)
+		target->left_at = now;
+}
+
+void roster_drop(struct roster *roster, struct str id, int64_t now)
+{
+	uint64_t key = str_hash(id);
+	struct live_target *target =
+		apr_hash_get(roster->targets, &key, sizeof(key));
+
+	if (!target)
+		return;
+	target->listed = false;
+	if (!target->left_at)
+		target->left_at = now;
+}
+
+void roster_domain(struct roster *roster, struct str domain, bool out)
+{
+	uint64_t key = str_hash(domain);
+	uint64_t *kept = apr_hash_get(roster->out, &key, sizeof(key));
+
+	if (out && !kept) {
+		kept = apr_palloc(roster->pool, sizeof(key));
+		*kept = key;
+		apr_hash_set(roster->out, kept, sizeof(*kept), kept);
+	} else if (!out && kept) {
+		apr_hash_set(roster->out, &key, sizeof(key), NULL);
+	}
+}
+
+void roster_store_lost(struct roster *roster, int64_t now)
+{
+	roster->store_lost_at = now;
+}
+
+void roster_cold_bound(struct roster *roster, uint64_t service, int per_second)
+{
+	group_get(roster, service)->cold_per_second = per_second;
+}
+
+/* Choice. */
+
+static bool cold_is_full(const struct roster *roster,
+			 const struct live_target *target, int64_t now)
+{
+	const struct group *group = apr_hash_get(
+		roster->groups, &target->service, sizeof(target->service));
+
+	if (now >= target->cold_until || !group || !group->cold_per_second)
+		return false;
+	return now - target->cold_second < SECOND_US &&
+	       target->cold_sent >= group->cold_per_second;
+}
+
+enum target_use roster_use(const struct roster *roster,
+			   const struct live_target *target, int64_t now)
+{
+	uint64_t domain = str_hash(target->domain);
+
+	if (apr_hash_get(roster->out, &domain, sizeof(domain)))
+		return USE_DOMAIN_OUT;
+	/*
+	 * While the store was away entries lapse though their targets live.
+	 * Such a target is used until its entry would have been back.
+	 */
+	if (target->left_at &&
+	    (target->listed || now - target->left_at > LAPSE_US ||
+	     target->left_at - roster->store_lost_at > LAPSE_US))
+		return USE_LEAVING;
+	if (now < target->rest_until)
+		return USE_RESTING;
+	if (cold_is_full(roster, target, now))
+		return USE_COLD;
+	return USE_OK;
+}
+
+static double remembered_us(const struct live_target *target, int64_t now)
+{
+	double halvings = (double)(now - target->service_at) / FORGET_HALF_US;
+	double us = target->service_us;
+
+	if (!target->service_at || halvings < 0.1)
+		return us;
+	while (halvings > 0 && us > SERVICE_GUESS_US) {
+		us *= halvings >= 1 ? 0.5 : 1 - halvings / 2;
+		halvings -= 1;
+	}
+	return us;
+}
+
+int64_t roster_expect(const struct live_target *target, int64_t now)
+{
+	double us = remembered_us(target, now);
+	int64_t age = target->asked_at ? now - target->asked_at : 0;
+	int slots = target->slots > 0 ? target->slots : 1;
+	double queued = (double)target->inflight / slots;
+	int64_t expected = (int64_t)(us * (1 + queued));
+
+	if (age > (int64_t)(us * OVERDUE_TIMES))
+		expected += OVERDUE_WAIT_US;
+	if (now < target->cold_until)
+		expected += (int64_t)us;
+	if (!target->near)
+		expected += FAR_WAIT_US;
+	return expected;
+}
+
+static bool is_avoided(const struct choice *choice, uint64_t key)
+{
+	for (size_t i = 0; i < choice->navoid; i++)
+		if (choice->avoid[i] == key)
+			return true;
+	return false;
+}
+
+struct live_target *roster_first(const struct roster *roster, uint64_t service)
+{
+	const struct group *group =
+		apr_hash_get(roster->groups, &service, sizeof(service));
+
+	return group ? group->first : NULL;
+}
+
+struct live_target *roster_choose(struct roster *roster,
+				  const struct choice *choice)
+{
+	struct live_target *best = NULL;
+	int64_t least = 0;
+
+	for (struct live_target *target = roster_first(roster, choice->service);
+	     target; target = target->next) {
+		int64_t expected;
+
+		if (roster_use(roster, target, choice->now) != USE_OK ||
+		    is_avoided(choice, target->key))
+			continue;
+		expected = roster_expect(target, choice->now);
+		if (!best || expected < least) {
+			best = target;
+			least = expected;
+		}
+	}
+	return best;
+}
+
+bool roster_any(const struct roster *roster, uint64_t service, int64_t now)
+{
+	for (struct live_target *target = roster_first(roster, service); target;
+	     target = target->next)
+		if (roster_use(roster, target, now) == USE_OK)
+			return true;
+	return false;
+}
+
+size_t roster_count(const struct roster *roster)
+{
+	return roster->count;
+}
+
+/* What is seen of a target. */
+
+void roster_sent(struct roster *roster, struct live_target *target, int64_t now)
+{
+	(void)roster;
+	if (!target->inflight++)
+		target->asked_at = now;
+	if (now < target->cold_until) {
+		if (now - target->cold_second >= SECOND_US) {
+			target->cold_second = now;
+			target->cold_sent = 0;
+		}
+		target->cold_sent++;
+	}
+}
+
+static void smooth(struct live_target *target, int64_t us, int64_t now)
+{
+	double known = remembered_us(target, now);
+
+	target->service_us = known + SMOOTHING * ((double)us - known);
+	target->service_at = now;
+}
+
+static void rest(struct live_target *target, int64_t now)
+{
+	int64_t us = REST_US;
+
+	for (int i = 1; i < target->failures && us < REST_MAX_US; i++)
+		us *= 2;
+	target->rest_until = now + us;
+}
+
+void roster_answered(struct roster *roster, struct live_target *target,
+		     enum target_reply what, int64_t sent_at, int64_t now)
+{
+	target->inflight--;
+	/* The others were sent at this one's time or later. */
+	target->asked_at = target->inflight ? now : 0;
+	switch (what) {
+	case REPLY_GOOD:
+		target->failures = 0;
+		target->answered_at = now;
+		smooth(target, now - sent_at, now);
+		break;
+	case REPLY_FULL:
+		target->answered_at = now;
+		target->rest_until = now + REST_FULL_US;
+		break;
+	case REPLY_FAILED:
+	case REPLY_DOWN:
+		target->failures++;
+		rest(target, now);
+		break;
+	case REPLY_OTHER:
+		target->listed = false;
+		if (!target->left_at)
+			target->left_at = now - LAPSE_US - 1;
+		break;
+	case REPLY_DROPPED:
+		/* At least this long: a slow target must not look quick. */
+		if (now - sent_at > (int64_t)target->service_us)
+			smooth(target, now - sent_at, now);
+		break;
+	}
+	if (!target->inflight && !target->service) {
+		free_strings(target);
+		free(target);
+	} else if (!target->inflight && !target->listed &&
+		   now - target->left_at > 2 * LAPSE_US) {
+		forget(roster, target);
+	}
+}
--- /dev/null
+++ b/roster.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "dialect.h"
+
+/**
+ * DOC: targets, and which of them a request goes to
+ *
+ * One table of all published targets with what this node has seen of each.
+ * Knows no network and no clock; times are monotonic microseconds.
+ */
+
+struct roster;
+
+/** enum target_use - whether new requests may go to a target */
+enum target_use {
+	USE_OK,
+	USE_LEAVING, /* it drains, or its entry is gone */
+	USE_DOMAIN_OUT,
+	USE_RESTING, /* failed just now, or tells that it is full */
+	USE_COLD, /* has its share of requests for this second */
+};
+
+/**
+ * struct live_target - a published target
+ * @key: hash of the id
+ * @near: in this node's failure domain
+ * @listed: its entry is in the store
+ * @left_at: when its entry went, or said that it is leaving; 0: it has not
+ * @cold_until: it is cold until then
+ * @rest_until: gets nothing until then
+ * @failures: in a row
+ * @inflight: requests of this node that it has not answered
+ * @asked_at: when the oldest of them was sent; 0 when there is none
+ * @answered_at: when it last answered
+ * @service_us: smoothed time from sending to the reply
+ * @cold_second, @cold_sent: requests sent in the present second while cold
+ */
+struct live_target {
+	struct str id;
+	uint64_t key;
+	uint64_t service;
+	struct str addr;
+	struct str domain;
+	int64_t born_ms;
+	int slots;
+	bool near;
+	bool listed;
+	int64_t left_at;
+	int64_t cold_until;
+	int64_t rest_until;
+	int failures;
+	int inflight;
+	int64_t asked_at;
+	int64_t answered_at;
+	double service_us;
+	int64_t service_at;
+	int64_t cold_second;
+	int cold_sent;
+	struct live_target *next; /* of the same service */
+};
+
+/**
+ * struct choice - a request for a target
+ * @avoid, @navoid: targets that have had the request already
+ * @nodes: how many nodes share the targets
+ * @catalog: bounds of cold targets
+ */
+struct choice {
+	uint64_t service;
+	const uint64_t *avoid;
+	size_t navoid;
+	int64_t now;
+};
+
+struct roster *roster_create(apr_pool_t *parent, struct str domain);
+void roster_destroy(struct roster *roster);
+
+/** roster_put() - take an entry as it is in the store now. */
+void roster_put(struct roster *roster, const struct target_entry *entry,
+		int64_t now);
+/** roster_drop() - its entry is gone. */
+void roster_drop(struct roster *roster, struct str id, int64_t now);
+/** roster_domain() - take a failure domain out, or back in. */
+void roster_domain(struct roster *roster, struct str domain, bool out);
+/** roster_store_lost() - entries may vanish that are still alive. */
+void roster_store_lost(struct roster *roster, int64_t now);
+/**
+ * roster_cold_bound() - requests a second that this node may send to a cold
+ * target of @service; 0 for no bound
+ */
+void roster_cold_bound(struct roster *roster, uint64_t service, int per_second);
+
+/**
+ * roster_choose() - best target for a request, or NULL when none may have it
+ *
+ * The one where the reply is expected first: its smoothed time, times the
+ * requests that wait there, plus what a reply that is overdue tells of it.
+ */
+struct live_target *roster_choose(struct roster *roster,
+				  const struct choice *choice);
+/** roster_expect() - microseconds until a reply, were it asked now. */
+int64_t roster_expect(const struct live_target *target, int64_t now);
+enum target_use roster_use(const struct roster *roster,
+			   const struct live_target *target, int64_t now);
+/** roster_any() - some target of @service may be asked now. */
+bool roster_any(const struct roster *roster, uint64_t service, int64_t now);
+/** roster_first() - targets of a service, linked by next. */
+struct live_target *roster_first(const struct roster *roster, uint64_t service);
+size_t roster_count(const struct roster *roster);
+
+/** roster_sent(), roster_answered() - a request went out, and came back. */
+void roster_sent(struct roster *roster, struct live_target *target,
+		 int64_t now);
+
+/** enum target_reply - what a reply says of its target */
+enum target_reply {
+	REPLY_GOOD,
+	REPLY_FULL, /* it did not run the request */
+	REPLY_FAILED, /* an error, a broken connection, no reply in time */
+	REPLY_DOWN, /* no connection */
+	REPLY_OTHER, /* another target has its address */
+	REPLY_DROPPED, /* nobody waited for it any more */
+};
+
+void roster_answered(struct roster *roster, struct live_target *target,
+		     enum target_reply what, int64_t sent_at, int64_t now);
--- /dev/null
+++ b/tier.c
@@ -0,0 +1,274 @@
+#include "tier.h"
+
+#include <stdlib.h>
+
+#include "forward.h"
+#include "merge.h"
+#include "note.h"
+#include "reader.h"
+#include "xmalloc.h"
+
+enum {
+	/*
+	 * After the signal to stop a node serves on, so that the balancer,
+	 * which asks each second and needs two misses, and callers with
+	 * connections have moved on before it ends: this part of the time until
+	 * it is killed.
+	 */
+	LINGER_NUM = 6,
+	LINGER_DEN = 10,
+	/* A node without a configuration tells callers to come back. */
+	STARTING_RETRY_US = 300000,
+};
+
+struct tier {
+	apr_pool_t *pool;
+	struct vm_settings settings;
+	const struct dialect *dialect;
+	uint64_t incarnation;
+	struct flow_effects *fx;
+	struct roster *roster;
+	struct note_book notes;
+	struct directory dir;
+	struct reader reader;
+	struct calls calls;
+	bool ready;
+	int64_t stop_at;
+	bool stopped;
+	uint64_t limits_version;
+};
+
+static struct budget_rules rules_of(const struct vm_settings *settings)
+{
+	return (struct budget_rules){ settings->retry_ratio,
+				      settings->retry_extra,
+				      settings->retry_window_us };
+}
+
+struct tier *tier_create(const struct tier_options *opt, int64_t now,
+			 struct flow_effects *fx)
+{
+	struct tier *tier = xcalloc(1, sizeof(*tier));
+
+	apr_pool_create(&tier->pool, NULL);
+	tier->settings = *opt->settings;
+	tier->settings.ip = str_dup(tier->pool, opt->settings->ip);
+	tier->settings.domain = str_dup(tier->pool, opt->settings->domain);
+	tier->dialect = opt->dialect;
+	tier->incarnation = opt->incarnation;
+	tier->fx = fx;
+	tier->notes.fx = fx;
+	tier->roster = roster_create(tier->pool, tier->settings.domain);
+	directory_init(&tier->dir, tier->pool, opt->dialect, tier->roster,
+		       &tier->notes);
+	tier->dir.cold_factor = tier->settings.cold_factor;
+	tier->dir.cold_extra = tier->settings.cold_extra;
+	reader_init(&tier->reader, &tier->dir, fx, now);
+	calls_init(&tier->calls, tier->pool, opt->seed);
+	tier->calls.roster = tier->roster;
+	tier->calls.budget =
+		budget_create(tier->pool, rules_of(&tier->settings));
+	tier->calls.fx = fx;
+	tier->calls.notes = &tier->notes;
+	return tier;
+}
+
+void tier_destroy(struct tier *tier)
+{
+	calls_destroy(&tier->calls);
+	budget_destroy(tier->calls.budget);
+	reader_destroy(&tier->reader);
+	directory_destroy(&tier->dir);
+	roster_destroy(tier->roster);
+	apr_pool_destroy(tier->pool);
+	free(tier);
+}
+
+/* Callers. */
+
+static void refuse_early(struct tier *tier, uint64_t id, int status, int code,
+			 const char *text, int64_t retry_after_us)
+{
+	struct flow_effect *fx = flow_add(tier->fx, FLOW_ANSWER);
+	struct buf body = { 0 };
+
+	error_json(&body, code, text, retry_after_us / 1000);
+	fx->id = id;
+	fx->status = status;
+	fx->headers = STR("Content-Type: application/json\r\n");
+	fx->body = str_dup(tier->fx->pool, buf_str(&body));
+	fx->retry_after_us = retry_after_us;
+	tier->notes.finals[status / 100]++;
+	buf_free(&body);
+}
+
+static void on_request(struct tier *tier, const struct flow_event *event)
+{
+	const struct flow_request *request = event->request;
+	const struct route *route;
+	struct call *call;
+
+	if (!tier->dir.catalog) {
+		refuse_early(tier, event->id, 503, ERR_STARTING,
+			     "no configuration yet", STARTING_RETRY_US);
+		return;
+	}
+	route = catalog_route(tier->dir.catalog, request->host, request->uri);
+	if (!route) {
+		refuse_early(tier, event->id, 404, ERR_NOT_FOUND,
+			     "no route for this host and path", 0);
+		return;
+	}
+	call = call_create(&tier->calls, event->id, request, tier->dir.catalog,
+			   route);
+	call->kind = route->nshards ? &merge_kind : &forward_kind;
+	call->kind->begin(&tier->calls, call);
+}
+
+static void on_caller_gone(struct tier *tier, uint64_t id)
+{
+	struct call *call = call_find(&tier->calls, id);
+
+	if (call)
+		call_abandon(&tier->calls, call);
+}
+
+/* Life. */
+
+static void set_ready(struct tier *tier, bool ready)
+{
+	struct flow_effect *fx;
+
+	if (tier->ready == ready)
+		return;
+	tier->ready = ready;
+	fx = flow_add(tier->fx, FLOW_READY);
+	fx->on = ready;
+	note_belief(&tier->notes, tier->calls.now, "ready",
+		    ready ? STR("yes") : STR("no"),
+		    ready ? "a configuration is in force" : "planned stop",
+		    tier->notes.version);
+}
+
+static void tell_limits(struct tier *tier)
+{
+	const struct catalog *catalog = tier->dir.catalog;
+	struct flow_effect *fx;
+
+	if (!catalog || catalog->version == tier->limits_version)
+		return;
+	tier->limits_version = catalog->version;
+	fx = flow_add(tier->fx, FLOW_LIMITS);
+	fx->limits = catalog->limits;
+}
+
+static void on_stop(struct tier *tier)
+{
+	if (tier->stop_at)
+		return;
+	tier->stop_at = tier->calls.now +
+			tier->settings.grace_us * LINGER_NUM / LINGER_DEN;
+	set_ready(tier, false);
+}
+
+static void check_stop(struct tier *tier)
+{
+	if (!tier->stop_at || tier->stopped ||
+	    tier->calls.now < tier->stop_at || tier->calls.nopen)
+		return;
+	tier->stopped = true;
+	flow_add(tier->fx, FLOW_EXIT);
+}
+
+static void on_settings(struct tier *tier, const struct vm_settings *settings)
+{
+	budget_rules(tier->calls.budget, rules_of(settings));
+	tier->dir.cold_factor = settings->cold_factor;
+	tier->dir.cold_extra = settings->cold_extra;
+	directory_bounds(&tier->dir, tier->dir.nodes);
+}
+
+static void run_timers(struct tier *tier)
+{
+	struct timer due;
+
+	while (timer_pop(&tier->calls.timers, tier->calls.now, &due))
+		call_due(&tier->calls, &due);
+}
+
+void tier_reduce(struct tier *tier, const struct flow_event *event,
+		 struct flow_effects *fx)
+{
+	tier->fx = fx;
+	tier->calls.now = event->now;
+	switch (event->type) {
+	case FLOW_TICK:
+		break;
+	case FLOW_REQUEST:
+		on_request(tier, event);
+		break;
+	case FLOW_CALLER_GONE:
+		on_caller_gone(tier, event->id);
+		break;
+	case FLOW_REPLY:
+		call_replied(&tier->calls, event->id, event->reply);
+		break;
+	case FLOW_STORE:
+		reader_reply(&tier->reader, event->store, event->now);
+		tell_limits(tier);
+		break;
+	case FLOW_MSG:
+	case FLOW_PEER_LOST:
+		break;
+	case FLOW_SETTINGS:
+		on_settings(tier, event->settings);
+		break;
+	case FLOW_STOP:
+		on_stop(tier);
+		break;
+	}
+	run_timers(tier);
+	reader_tick(&tier->reader, event->now);
+	if (!tier->stop_at && tier->dir.catalog)
+		set_ready(tier, true);
+	check_stop(tier);
+}
+
+void tier_reap(struct tier *tier)
+{
+	calls_reap(&tier->calls);
+}
+
+int64_t tier_wake_at(const struct tier *tier)
+{
+	int64_t when = timer_next(&tier->calls.timers);
+	int64_t read_at = reader_wake_at(&tier->reader);
+
+	if (read_at < when)
+		when = read_at;
+	if (tier->stop_at && !tier->calls.nopen && tier->stop_at < when)
+		when = tier->stop_at;
+	return when;
+}
+
+void tier_metrics(const struct tier *tier, struct buf *out)
+{
+	static const char *const names[] = { "gone", "1xx", "2xx",
+					     "3xx",  "4xx", "5xx" };
+	const struct note_book *notes = &tier->notes;
+
+	for (int i = 0; i < 6; i++)
+		buf_printf(out,
+			   "wasabimoor_answers_total{status=\"%s\"} %llu\n",
+			   names[i], (unsigned long long)notes->finals[i]);
+	buf_printf(out, "wasabimoor_partial_total %llu\n",
+		   (unsigned long long)notes->partial);
+	buf_printf(out, "wasabimoor_open_calls %zu\n", tier->calls.nopen);
+	buf_printf(out, "wasabimoor_targets %zu\n", roster_count(tier->roster));
+	buf_printf(out, "wasabimoor_configuration_version %llu\n",
+		   (unsigned long long)notes->version);
+	buf_printf(out, "wasabimoor_latency_us{quantile=\"0.5\"} %lld\n",
+		   (long long)latency_quantile(&notes->latency, 0.5));
+	buf_printf(out, "wasabimoor_latency_us{quantile=\"0.99\"} %lld\n",
+		   (long long)latency_quantile(&notes->latency, 0.99));
+}
--- /dev/null
+++ b/upstream.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "event.h"
+#include "loop.h"
+
+/**
+ * DOC: HTTP connections to targets and to the store
+ *
+ * Connections are kept and reused, one request at a time on each. Nothing is
+ * ever sent twice: what came of a request is reported, and the reducer decides.
+ */
+
+struct upstream;
+
+enum {
+	UPSTREAM_HEADERS_MAX = 64,
+};
+
+/** struct header - one line of a head */
+struct header {
+	struct str name;
+	struct str value;
+};
+
+/**
+ * struct upstream_request - what to send, and where
+ * @id: unique; names the request in upstream_cancel() and the reply
+ * @addr: "ip:port"
+ * @head: request line and headers, with the empty line that ends them
+ * @echo_name, @echo: header of the reply that must hold @echo; a reply with
+ *                    another value belongs to an earlier request and is
+ *                    skipped. Not checked when @echo is empty or absent there
+ * @no_body: the reply has no body whatever its head says
+ * @connect_us, @timeout_us: until a connection stands, until the whole reply
+ */
+struct upstream_request {
+	uint64_t id;
+	struct str addr;
+	struct str head;
+	struct str body;
+	struct str echo_name;
+	struct str echo;
+	bool no_body;
+	int64_t connect_us;
+	int64_t timeout_us;
+};
+
+/**
+ * struct upstream_reply - what came of it
+ * @result: FETCH_REFUSED only when no byte was sent
+ * @opened: a new connection was opened for it
+ */
+struct upstream_reply {
+	enum fetch_result result;
+	int status;
+	const struct header *headers;
+	size_t nheaders;
+	struct str body;
+	bool opened;
+};
+
+struct upstream_handler {
+	void (*done)(void *ctx, uint64_t id,
+		     const struct upstream_reply *reply);
+	void *ctx;
+};
+
+struct upstream *upstream_create(struct loop *loop,
+				 struct upstream_handler handler);
+/** upstream_send() - strings are copied; the handler is called once, later. */
+void upstream_send(struct upstream *up, const struct upstream_request *req);
+/** upstream_cancel() - close its connection; the handler is not called. */
+void upstream_cancel(struct upstream *up, uint64_t id);
+/** upstream_warm() - open connections until @count to @addr stand idle. */
+void upstream_warm(struct upstream *up, struct str addr, int count);
+void upstream_destroy(struct upstream *up);
+/** header_find() - value of the first header with this name, or empty. */
+struct str header_find(const struct header *headers, size_t count,
+		       struct str name);
