--- /dev/null
+++ b/batch.c
@@ -0,0 +1,343 @@
+#include "batch.h"
+
+#include <stdlib.h>
+
+#include "note.h"
+#include "parcel.h"
+#include "xmalloc.h"
+
+enum {
+	/* The way to the other node and back, and its wait for a processor. */
+	HOP_US = 3000,
+	/* A node that did not answer gets no shards for this long. */
+	REST_US = 500000,
+};
+
+/* Ids of calls that other nodes asked for; those of callers are smaller. */
+static const uint64_t asked_bit = 1ULL << 62;
+
+void batch_book_init(struct batch_book *book, apr_pool_t *pool,
+		     struct gossip *gossip, struct spread *spread)
+{
+	*book = (struct batch_book){ .gossip = gossip, .spread = spread };
+	book->open = hash_make(pool);
+}
+
+static struct flow_effect *tell(struct calls *calls, struct str addr,
+				uint64_t incarnation, uint32_t kind)
+{
+	struct flow_effect *fx = flow_add(calls->fx, FLOW_TELL);
+
+	fx->addr = str_dup(calls->fx->pool, addr);
+	fx->incarnation = incarnation;
+	fx->msg.kind = kind;
+	return fx;
+}
+
+static struct str pack_parts(struct calls *calls, const uint16_t *parts,
+			     size_t nparts)
+{
+	return str_dup(
+		calls->fx->pool,
+		(struct str){ (const char *)parts, nparts * sizeof(*parts) });
+}
+
+/* Asking. */
+
+void batch_send(struct calls *calls, struct call *call,
+		struct member_info *member, const uint16_t *parts,
+		size_t nparts)
+{
+	struct flow_effect *fx = tell(calls, member->addr, 0, MSG_ASK);
+	struct batch *batch = apr_pcalloc(call->pool, sizeof(*batch));
+	struct buf body = { 0 };
+
+	batch->id = ++calls->next_id;
+	batch->call = call;
+	batch->addr = str_dup(call->pool, member->addr);
+	batch->sent_at = calls->now;
+	batch->parts = apr_palloc(call->pool, nparts * sizeof(*parts));
+	memcpy(batch->parts, parts, nparts * sizeof(*parts));
+	batch->nparts = nparts;
+	batch->next = call->batches;
+	call->batches = batch;
+	apr_hash_set(calls->batches->open, &batch->id, sizeof(batch->id),
+		     batch);
+	if (!member->open++)
+		member->asked_at = calls->now;
+	parcel_request(&call->request, &body);
+	fx->msg.id = batch->id;
+	fx->msg.version = call->catalog->version;
+	fx->msg.remaining_us = call->give_up_at - calls->now;
+	fx->msg.wait_us = calls->now - call->start + HOP_US;
+	fx->msg.body = str_dup(calls->fx->pool, buf_str(&body));
+	fx->msg.name = pack_parts(calls, parts, nparts);
+	buf_free(&body);
+}
+
+static void batch_close(struct calls *calls, struct batch *batch)
+{
+	struct member_info *member =
+		gossip_find(calls->batches->gossip, batch->addr);
+	struct batch **at = &batch->call->batches;
+
+	while (*at != batch)
+		at = &(*at)->next;
+	*at = batch->next;
+	apr_hash_set(calls->batches->open, &batch->id, sizeof(batch->id), NULL);
+	if (!member || !member->open)
+		return;
+	member->open--;
+	member->asked_at = member->open ? calls->now : 0;
+}
+
+static void batch_cancel(struct calls *calls, struct batch *batch)
+{
+	tell(calls, batch->addr, 0, MSG_ASK_CANCEL)->msg.id = batch->id;
+	batch_close(calls, batch);
+}
+
+void batch_cancel_all(struct calls *calls, struct call *call)
+{
+	while (call->batches)
+		batch_cancel(calls, call->batches);
+}
+
+/*
+ * Connections may go silent for good, in either direction: both are opened
+ * anew, which costs little if the node was merely slow.
+ */
+static void rest(struct calls *calls, struct str addr)
+{
+	struct member_info *member = gossip_find(calls->batches->gossip, addr);
+	struct flow_effect *fx;
+
+	if (!member || calls->now < member->rest_until)
+		return;
+	member->rest_until = calls->now + REST_US;
+	note_belief(calls->notes, calls->now, "node is late", addr,
+		    "it has not answered for its shards", 0);
+	fx = flow_add(calls->fx, FLOW_RESET_PEER);
+	fx->addr = str_dup(calls->fx->pool, addr);
+	tell(calls, addr, 0, MSG_RELINK);
+}
+
+static void batch_fail(struct calls *calls, struct batch *batch, bool ran)
+{
+	struct call *call = batch->call;
+
+	batch_cancel(calls, batch);
+	calls->batches->failed(calls, call, batch->parts, batch->nparts, ran);
+}
+
+void batch_overdue(struct calls *calls, struct call *call)
+{
+	struct batch *next;
+
+	for (struct batch *batch = call->batches; batch; batch = next) {
+		next = batch->next;
+		if (batch->replied)
+			continue;
+		rest(calls, batch->addr);
+		batch_fail(calls, batch, true);
+	}
+}
+
+static void drop_parts(struct batch *batch, const uint16_t *parts,
+		       size_t nparts)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < batch->nparts; i++) {
+		bool done = false;
+
+		for (size_t j = 0; j < nparts; j++)
+			done = done || parts[j] == batch->parts[i];
+		if (!done)
+			batch->parts[kept++] = batch->parts[i];
+	}
+	batch->nparts = kept;
+}
+
+/* Every part of a reply must be one that this batch still waits for. */
+static bool is_awaited(const struct batch *batch, const uint16_t *parts,
+		       size_t nparts)
+{
+	for (size_t j = 0; j < nparts; j++) {
+		bool found = false;
+
+		for (size_t i = 0; i < batch->nparts; i++)
+			found = found || batch->parts[i] == parts[j];
+		if (!found)
+			return false;
+	}
+	return true;
+}
+
+void batch_on_reply(struct calls *calls, struct str from, const struct msg *msg)
+{
+	struct batch *batch =
+		apr_hash_get(calls->batches->open, &msg->id, sizeof(msg->id));
+	size_t nparts = msg->name.len / sizeof(uint16_t);
+	uint16_t *parts;
+	struct call *call;
+
+	if (!batch || !str_eq(batch->addr, from))
+		return;
+	call = batch->call;
+	parts = apr_palloc(call->pool, msg->name.len + 1);
+	if (msg->name.len)
+		memcpy(parts, msg->name.ptr, msg->name.len);
+	if (!is_awaited(batch, parts, nparts)) {
+		note_belief(calls->notes, calls->now, "unusable", from,
+			    "it answers for shards that it was not asked for",
+			    msg->version);
+		batch_fail(calls, batch, true);
+		return;
+	}
+	batch->replied = true;
+	drop_parts(batch, parts, nparts);
+	if (msg->state) {
+		/* The last word; what is left will not come from there. */
+		batch_close(calls, batch);
+		if (nparts)
+			calls->batches->replied(calls, call, parts, nparts,
+						msg);
+		if (batch->nparts && call_find(calls, call->id))
+			calls->batches->failed(calls, call, batch->parts,
+					       batch->nparts, msg->ran);
+		return;
+	}
+	if (nparts)
+		calls->batches->replied(calls, call, parts, nparts, msg);
+}
+
+/* Finds one open batch at @addr, as failing one may change the table. */
+static struct batch *find_at(struct calls *calls, struct str addr)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, calls->batches->open); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+		struct batch *batch;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		batch = value;
+		if (str_eq(batch->addr, addr))
+			return batch;
+	}
+	return NULL;
+}
+
+void batch_on_lost(struct calls *calls, struct str addr)
+{
+	struct member_info *member = gossip_find(calls->batches->gossip, addr);
+	struct batch *batch = find_at(calls, addr);
+
+	if (member)
+		member->rest_until = calls->now + REST_US;
+	for (; batch; batch = find_at(calls, addr))
+		batch_fail(calls, batch, true);
+}
+
+/* Asked. */
+
+static void refuse(struct calls *calls, struct str from, uint64_t incarnation,
+		   uint64_t id)
+{
+	struct flow_effect *fx = tell(calls, from, incarnation, MSG_ASK_REPLY);
+
+	fx->msg.id = id;
+	fx->msg.state = 1;
+}
+
+static const struct route *route_of(struct catalog *catalog,
+				    const struct msg *msg,
+				    struct flow_request *request,
+				    apr_pool_t *pool)
+{
+	size_t nparts = msg->name.len / sizeof(uint16_t);
+	const struct route *route;
+
+	/* Indexes of shards mean the same in the same version only. */
+	if (!catalog || catalog->version != msg->version ||
+	    parcel_open_request(msg->body, pool, request))
+		return NULL;
+	route = catalog_route(catalog, request->host, request->uri);
+	if (!route)
+		return NULL;
+	for (size_t i = 0; i < nparts; i++) {
+		uint16_t part;
+
+		memcpy(&part, msg->name.ptr + i * sizeof(part), sizeof(part));
+		if (part >= route->nshards)
+			return NULL;
+	}
+	return route;
+}
+
+void batch_asked(struct calls *calls, struct catalog *catalog, struct str from,
+		 uint64_t incarnation, const struct msg *msg)
+{
+	struct flow_request request;
+	const struct route *route;
+	struct call *call;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, calls->pool);
+	route = route_of(catalog, msg, &request, pool);
+	if (!route) {
+		refuse(calls, from, incarnation, msg->id);
+		apr_pool_destroy(pool);
+		return;
+	}
+	request.time_left_us = msg->remaining_us;
+	call = call_create(calls, asked_bit | ++calls->next_id, &request,
+			   catalog, route);
+	call->start -= msg->wait_us;
+	call->give_up_at = calls->now + msg->remaining_us;
+	call->asker = str_dup(call->pool, from);
+	call->asker_incarnation = incarnation;
+	call->asker_id = msg->id;
+	call->nwanted = msg->name.len / sizeof(uint16_t);
+	call->wanted = apr_palloc(call->pool, msg->name.len + 1);
+	memcpy(call->wanted, msg->name.ptr, msg->name.len);
+	call->kind = calls->shards_kind;
+	call->kind->begin(calls, call);
+	apr_pool_destroy(pool);
+}
+
+void batch_cancelled(struct calls *calls, struct str from,
+		     const struct msg *msg)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, calls->open); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+		struct call *call;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		call = value;
+		if (call->asker_id != msg->id || !str_eq(call->asker, from))
+			continue;
+		call_abandon(calls, call);
+		return;
+	}
+}
+
+void batch_tell(struct calls *calls, const struct call *call,
+		const uint16_t *parts, size_t nparts, struct str records,
+		struct str signatures, bool last)
+{
+	struct flow_effect *fx = tell(calls, call->asker,
+				      call->asker_incarnation, MSG_ASK_REPLY);
+
+	fx->msg.id = call->asker_id;
+	fx->msg.state = last;
+	fx->msg.ran = true;
+	fx->msg.name = pack_parts(calls, parts, nparts);
+	fx->msg.body = str_dup(calls->fx->pool, records);
+	fx->msg.text = str_dup(calls->fx->pool, signatures);
+}
--- a/call.c
+++ b/call.c
@@ -209,7 +209,7 @@
 	target = roster_choose(calls->roster, &choice);
 	if (!target)
 		return SEND_NO_TARGET;
-	if (!p->ntried)
+	if (!p->ntried && !p->again)
 		budget_first(calls->budget, p->service, calls->now);
 	else if (!budget_take(calls->budget, p->service, calls->now))
 		return SEND_NO_BUDGET;
@@ -306,6 +306,8 @@
 		else
 			attempt->call = NULL;
 	}
+	if (call->kind->ended)
+		call->kind->ended(calls, call);
 	apr_hash_set(calls->open, &call->id, sizeof(call->id), NULL);
 	calls->nopen--;
 	call->next_dead = calls->dead;
@@ -350,6 +352,11 @@
 	buf_free(&body);
 }
 
+void call_finish(struct calls *calls, struct call *call)
+{
+	call_end(calls, call);
+}
+
 void call_abandon(struct calls *calls, struct call *call)
 {
 	note_gone(calls->notes, calls->now, call);
--- a/call.h
+++ b/call.h
@@ -40,7 +40,7 @@
  * @begin: first sends
  * @replied: a reply to one of its attempts, which is no longer among them
  * @review: its time has come; sets call->review_at anew
- * @answered_by_peer: the node that was asked has answered, or is gone
+ * @ended: nothing more is wanted of other nodes; may be NULL
  */
 struct call_kind {
 	const char *name;
@@ -49,6 +49,7 @@
 			const struct attempt *attempt,
 			const struct flow_reply *reply);
 	void (*review)(struct calls *calls, struct call *call);
+	void (*ended)(struct calls *calls, struct call *call);
 };
 
 enum {
@@ -61,6 +62,8 @@
  * @open: attempts under way
  * @done: a good reply is in
  * @ran: some target may have run it
+ * @batched: another node was asked for it and has not answered
+ * @again: another node may have sent it already
  */
 struct part {
 	uint64_t service;
@@ -69,6 +72,8 @@
 	int open;
 	bool done;
 	bool ran;
+	bool batched;
+	bool again;
 };
 
 /**
@@ -79,7 +84,8 @@
  * @give_up_at: the caller, or its route, waits no longer
  * @soft_at: what is there is answered if it is enough
  * @review_at: next review; 0 when none is planned
- * @delegate: node that merges for this one, empty when this one does
+ * @wanted, @nwanted: shards that @asker wants; all of them for a caller
+ * @batches: shards that other nodes were asked for
  * @state: of its kind
  */
 struct call {
@@ -100,7 +106,9 @@
 	size_t nparts;
 	size_t ndone;
 	struct attempt *attempts;
-	struct str delegate;
+	uint16_t *wanted;
+	size_t nwanted;
+	struct batch *batches;
 	void *state;
 	struct call *next_dead;
 };
@@ -112,6 +120,7 @@
  * @open: id -> struct call
  * @attempts: id -> struct attempt
  * @dead: ended; freed by calls_reap()
+ * @shards_kind: of calls that other nodes ask this one for
  */
 struct calls {
 	apr_pool_t *pool;
@@ -127,6 +136,8 @@
 	struct call *dead;
 	size_t nopen;
 	struct note_book *notes;
+	struct batch_book *batches;
+	const struct call_kind *shards_kind;
 };
 
 /** enum send_result - whether an attempt was made */
@@ -179,5 +190,7 @@
 /** call_refuse() - end with an error of this node's own. */
 void call_refuse(struct calls *calls, struct call *call, int status,
 		 const char *why, int64_t retry_after_us);
+/** call_finish() - end without an answer to a caller: all has been said. */
+void call_finish(struct calls *calls, struct call *call);
 /** call_abandon() - the caller is gone: end without an answer. */
 void call_abandon(struct calls *calls, struct call *call);
--- a/catalog.h
+++ b/catalog.h
@@ -30,8 +30,8 @@
 	double cold_per_s;
 };
 
-/** struct share - a service and its part of a route's requests */
-struct share {
+/** struct weighted - a service and its part of a route's requests */
+struct weighted {
 	uint64_t service;
 	double weight;
 };
@@ -58,7 +58,7 @@
 	int64_t goal_us;
 	int attempts;
 	int priority;
-	struct share *shares;
+	struct weighted *shares;
 	size_t nshares;
 	uint64_t *shards;
 	size_t nshards;
--- a/directory.c
+++ b/directory.c
@@ -2,8 +2,20 @@
 
 #include <stdlib.h>
 
+#include "parcel.h"
 #include "xmalloc.h"
 
+enum {
+	/*
+	 * Connections of this node to a target, even where more nodes than
+	 * that would share them: not all nodes use all targets at a time.
+	 */
+	CONNS_LEAST = 3,
+};
+
+/* Of a target's connections; the rest is for nodes not heard of yet. */
+static const double CONNS_PART = 0.8;
+
 void directory_init(struct directory *dir, apr_pool_t *pool,
 		    const struct dialect *dialect, struct roster *roster,
 		    struct note_book *notes)
@@ -56,6 +68,13 @@
 	return mine > 0 ? mine : 1;
 }
 
+static int conn_part(const struct directory *dir, int max_conns)
+{
+	int mine = (int)(max_conns * CONNS_PART) / dir->nodes;
+
+	return mine > CONNS_LEAST ? mine : CONNS_LEAST;
+}
+
 void directory_bounds(struct directory *dir, int nodes)
 {
 	dir->nodes = nodes > 0 ? nodes : 1;
@@ -66,7 +85,36 @@
 				  service->cold_per_s > 0
 					  ? cold_part(dir, service->cold_per_s)
 					  : 0);
+		roster_conn_bound(dir->roster, service->key,
+				  conn_part(dir, service->max_conns));
+	}
+}
+
+void directory_pack(const struct directory *dir, uint64_t since,
+		    struct buf *out)
+{
+	struct store_item *items =
+		xcalloc(apr_hash_count(dir->keys) + 1, sizeof(*items));
+	apr_hash_index_t *it;
+	size_t count = 0;
+
+	for (it = apr_hash_first(NULL, dir->keys); it; it = apr_hash_next(it)) {
+		void *value;
+		const struct held_key *held;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		held = value;
+		if (held->revision <= since)
+			continue;
+		items[count].key = held->key;
+		items[count].revision = held->revision;
+		items[count].deleted = held->deleted;
+		if (!held->deleted)
+			items[count].value = held->value;
+		count++;
 	}
+	parcel_items(items, count, out);
+	free(items);
 }
 
 static void take_catalog(struct directory *dir, struct catalog *catalog,
--- a/directory.h
+++ b/directory.h
@@ -18,6 +18,7 @@
  * @catalog: newest configuration, NULL before the first
  * @revision: of the store when it was last read whole or in order
  * @read_at: when the store, or a node that had just read it, was last heard
+ * @told: other nodes have told all keys up to @revision
  * @dialect: how keys and values are spelled
  */
 struct directory {
@@ -29,6 +30,7 @@
 	struct catalog *catalog;
 	uint64_t revision;
 	int64_t read_at;
+	bool told;
 	uint64_t round;
 	double cold_factor;
 	int cold_extra;
@@ -55,5 +57,8 @@
 void directory_round(struct directory *dir);
 /** directory_whole() - it is complete: keys that it did not show are gone. */
 void directory_whole(struct directory *dir, uint64_t revision, int64_t now);
-/** directory_bounds() - cold bounds of targets for this many nodes. */
+/** directory_bounds() - this node's parts of targets' bounds. */
 void directory_bounds(struct directory *dir, int nodes);
+/** directory_pack() - all that changed after revision @since. */
+void directory_pack(const struct directory *dir, uint64_t since,
+		    struct buf *out);
--- a/edge.c
+++ b/edge.c
@@ -45,6 +45,7 @@
 	struct flow_effects fx;
 	bool carrying;
 	struct upstream *upstream;
+	struct peers *peers;
 	struct http_server *callers;
 	struct http_server *health;
 	struct http_server *metrics;
@@ -230,6 +231,29 @@
 	buf_free(&out);
 }
 
+/* Other nodes. */
+
+static void on_frame(void *ctx, const struct frame *frame)
+{
+	for (size_t i = 0; i < frame->count; i++)
+		feed(ctx, (struct flow_event){ .type = FLOW_MSG,
+					       .from = frame->from,
+					       .incarnation =
+						       frame->from_incarnation,
+					       .msg = &frame->msgs[i] });
+}
+
+static void on_peer_lost(void *ctx, struct str addr)
+{
+	feed(ctx, (struct flow_event){ .type = FLOW_PEER_LOST, .from = addr });
+}
+
+static void on_bad_frame(void *ctx, const struct error *err)
+{
+	(void)ctx;
+	LOG_WARN("%s; closed the connection", err->text);
+}
+
 /* Effects. */
 
 static void do_effect(struct edge *edge, const struct flow_effect *fx)
@@ -248,7 +272,10 @@
 		do_read(edge, fx);
 		break;
 	case FLOW_TELL:
+		peers_send(edge->peers, fx->addr, fx->incarnation, &fx->msg);
+		break;
 	case FLOW_RESET_PEER:
+		peers_reset(edge->peers, fx->addr);
 		break;
 	case FLOW_LOG:
 		log_json(LOG_CLASS_INFO, "tier", fx->text);
@@ -267,11 +294,20 @@
 
 static void carry_out(struct edge *edge)
 {
-	edge->carrying = true;
-	for (size_t done = 0; done < edge->fx.count; done++) {
-		struct flow_effect fx = edge->fx.list[done];
+	size_t done = 0;
 
-		do_effect(edge, &fx);
+	edge->carrying = true;
+	while (done < edge->fx.count) {
+		while (done < edge->fx.count) {
+			struct flow_effect fx = edge->fx.list[done++];
+
+			do_effect(edge, &fx);
+		}
+		/*
+		 * Encodes what was queued, while its strings live; connections
+		 * found broken add events, and so effects.
+		 */
+		peers_flush(edge->peers);
 	}
 	edge->carrying = false;
 	flow_clear(&edge->fx);
@@ -386,13 +422,25 @@
 }
 
 static int listen_all(struct edge *edge, uint16_t metrics_port,
-		      struct error *err)
+		      uint64_t incarnation, struct error *err)
 {
 	struct http_handler callers = { on_caller, on_caller_gone, edge };
 	struct http_handler health = { on_health, NULL, edge };
 	struct http_handler metrics = { on_metrics, NULL, edge };
 	struct buf addr = { 0 };
 
+	buf_printf(&addr, "%.*s:%u", STR_ARG(edge->settings.ip),
+		   edge->settings.peer_port);
+	edge->peers =
+		peers_create(edge->loop, buf_str(&addr), incarnation,
+			     (struct peer_handler){ on_frame, on_peer_lost,
+						    on_bad_frame, edge },
+			     err);
+	addr.len = 0;
+	if (!edge->peers) {
+		buf_free(&addr);
+		return err->code;
+	}
 	edge->callers = http_listen(edge->loop, edge->settings.callers,
 				    BODY_MAX, callers, err);
 	if (!edge->callers)
@@ -432,7 +480,7 @@
 
 	if (code)
 		return code;
-	code = listen_all(edge, opt->metrics_port, err);
+	code = listen_all(edge, opt->metrics_port, tier.incarnation, err);
 	if (code)
 		return code;
 	edge->upstream = upstream_create(
@@ -460,6 +508,8 @@
 		http_destroy(edge->health);
 	if (edge->callers)
 		http_destroy(edge->callers);
+	if (edge->peers)
+		peers_destroy(edge->peers);
 	if (edge->upstream)
 		upstream_destroy(edge->upstream);
 	if (edge->tier)
--- /dev/null
+++ b/gossip.c
@@ -0,0 +1,332 @@
+#include "gossip.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "xmalloc.h"
+
+enum {
+	PERIOD_US = 1000000,
+	/*
+	 * Told each period: this many of the own failure domain, and of the
+	 * others, whose bytes are paid for. Word of a change has reached 90
+	 * nodes after some five periods, 6 nodes after one.
+	 */
+	NEAR_FANOUT = 3,
+	FAR_FANOUT = 2,
+	/* A beat that stands still this long: three lost rounds. */
+	DOWN_US = 3500000,
+	/* Down nodes may be only out of reach: they keep their part of shared
+	 * bounds for as long as such cuts last, mostly. */
+	COUNT_US = 15000000,
+	FORGET_US = 60000000,
+	ADDR_MAX = 32,
+};
+
+static uint32_t ip_number(struct str ip)
+{
+	char text[INET_ADDRSTRLEN] = "";
+	struct in_addr in = { 0 };
+
+	if (ip.len >= sizeof(text))
+		return 0;
+	memcpy(text, ip.ptr, ip.len);
+	return inet_pton(AF_INET, text, &in) == 1 ? ntohl(in.s_addr) : 0;
+}
+
+static struct str addr_text(apr_pool_t *pool, uint32_t ip, uint16_t port)
+{
+	char text[ADDR_MAX];
+	int len = snprintf(text, sizeof(text), "%u.%u.%u.%u:%u", ip >> 24,
+			   ip >> 16 & 255, ip >> 8 & 255, ip & 255, port);
+
+	return str_dup(pool, (struct str){ text, (size_t)len });
+}
+
+void gossip_seeds(struct gossip *gossip, const struct vm_settings *settings)
+{
+	gossip->nseeds = 0;
+	for (size_t i = 0; i < settings->nseeds; i++) {
+		uint32_t ip = ip_number(settings->seeds[i]);
+
+		if (ip)
+			gossip->seeds[gossip->nseeds++] = ip;
+	}
+}
+
+void gossip_init(struct gossip *gossip, apr_pool_t *pool,
+		 struct flow_effects *fx, struct rng *rng,
+		 const struct vm_settings *settings, uint64_t incarnation,
+		 int64_t now)
+{
+	*gossip = (struct gossip){ .pool = pool,
+				   .fx = fx,
+				   .rng = rng,
+				   .port = settings->peer_port,
+				   .next_at = now,
+				   .live = 1,
+				   .most_live = 1 };
+	gossip->members = hash_make(pool);
+	gossip->self.ip = ip_number(settings->ip);
+	gossip->self.incarnation = incarnation;
+	gossip->self.domain = str_hash(settings->domain);
+	gossip->self.core = (uint32_t)(settings->core * 1000);
+	gossip_seeds(gossip, settings);
+}
+
+void gossip_destroy(struct gossip *gossip)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, gossip->members); it;
+	     it = apr_hash_next(it)) {
+		void *member;
+
+		apr_hash_this(it, NULL, NULL, &member);
+		free(member);
+	}
+}
+
+bool gossip_is_live(const struct member_info *member, int64_t now)
+{
+	return now - member->heard_at < DOWN_US &&
+	       !(member->entry.state & MEMBER_LEAVES);
+}
+
+bool gossip_is_seed(const struct gossip *gossip)
+{
+	for (size_t i = 0; i < gossip->nseeds; i++)
+		if (gossip->seeds[i] == gossip->self.ip)
+			return true;
+	return !gossip->nseeds;
+}
+
+struct member_info *gossip_find(struct gossip *gossip, struct str addr)
+{
+	const char *colon = memchr(addr.ptr ? addr.ptr : "", ':', addr.len);
+	uint32_t ip;
+
+	if (!colon)
+		return NULL;
+	ip = ip_number((struct str){ addr.ptr, (size_t)(colon - addr.ptr) });
+	return apr_hash_get(gossip->members, &ip, sizeof(ip));
+}
+
+int gossip_count(const struct gossip *gossip)
+{
+	return gossip->most_live;
+}
+
+/* Nodes that went down lately still count; see COUNT_US. */
+static void count_live(struct gossip *gossip, int64_t now)
+{
+	apr_hash_index_t *it;
+	int counted = 1;
+
+	gossip->live = 1;
+	for (it = apr_hash_first(NULL, gossip->members); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+		struct member_info *member;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		member = value;
+		if (now - member->heard_at < COUNT_US)
+			counted++;
+		if (gossip_is_live(member, now))
+			gossip->live++;
+		if (now - member->heard_at > FORGET_US && !member->open) {
+			apr_hash_set(gossip->members, &member->entry.ip,
+				     sizeof(member->entry.ip), NULL);
+			free(member);
+		}
+	}
+	gossip->most_live = counted;
+}
+
+/* Sending. */
+
+static void pack_all(struct gossip *gossip, int64_t now, struct buf *out)
+{
+	size_t most = apr_hash_count(gossip->members) + 1;
+	struct member_entry *list = xcalloc(most, sizeof(*list));
+	apr_hash_index_t *it;
+	size_t count = 0;
+
+	list[count++] = gossip->self;
+	for (it = apr_hash_first(NULL, gossip->members); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+		struct member_info *member;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		member = value;
+		/* What is down must not be heard of again from old news. */
+		if (now - member->heard_at < DOWN_US)
+			list[count++] = member->entry;
+	}
+	parcel_members(list, count, out);
+	free(list);
+}
+
+static void tell(struct gossip *gossip, struct str addr, struct str body)
+{
+	struct flow_effect *fx = flow_add(gossip->fx, FLOW_TELL);
+
+	fx->addr = str_dup(gossip->fx->pool, addr);
+	fx->msg.kind = MSG_GOSSIP;
+	fx->msg.body = str_dup(gossip->fx->pool, body);
+}
+
+/* Picks up to @most of those of one side, each with the same chance. */
+static size_t pick(struct gossip *gossip, bool near, size_t most, int64_t now,
+		   struct member_info **out)
+{
+	apr_hash_index_t *it;
+	size_t seen = 0;
+
+	for (it = apr_hash_first(NULL, gossip->members); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+		struct member_info *member;
+		size_t place;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		member = value;
+		if ((member->entry.domain == gossip->self.domain) != near ||
+		    now - member->heard_at >= COUNT_US)
+			continue;
+		place = seen++;
+		if (place >= most)
+			place = rng_below(gossip->rng, seen);
+		if (place < most)
+			out[place] = member;
+	}
+	return seen < most ? seen : most;
+}
+
+static void tell_seeds(struct gossip *gossip, struct str body, int64_t now)
+{
+	for (size_t i = 0; i < gossip->nseeds; i++) {
+		uint32_t ip = gossip->seeds[i];
+		struct member_info *member =
+			apr_hash_get(gossip->members, &ip, sizeof(ip));
+
+		if (ip == gossip->self.ip ||
+		    (member && gossip_is_live(member, now)))
+			continue;
+		tell(gossip, addr_text(gossip->fx->pool, ip, gossip->port),
+		     body);
+	}
+}
+
+void gossip_tick(struct gossip *gossip, int64_t now)
+{
+	struct member_info *picked[NEAR_FANOUT + FAR_FANOUT];
+	struct buf body = { 0 };
+	size_t count;
+
+	if (now < gossip->next_at)
+		return;
+	gossip->next_at = now + PERIOD_US;
+	gossip->self.beat++;
+	count_live(gossip, now);
+	pack_all(gossip, now, &body);
+	count = pick(gossip, true, NEAR_FANOUT, now, picked);
+	count += pick(gossip, false, FAR_FANOUT, now, picked + count);
+	for (size_t i = 0; i < count; i++)
+		tell(gossip, picked[i]->addr, buf_str(&body));
+	tell_seeds(gossip, buf_str(&body), now);
+	buf_free(&body);
+}
+
+void gossip_announce(struct gossip *gossip, int64_t now)
+{
+	apr_hash_index_t *it;
+	struct buf body = { 0 };
+
+	gossip->self.beat++;
+	parcel_members(&gossip->self, 1, &body);
+	for (it = apr_hash_first(NULL, gossip->members); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+		struct member_info *member;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		member = value;
+		if (gossip_is_live(member, now))
+			tell(gossip, member->addr, buf_str(&body));
+	}
+	buf_free(&body);
+}
+
+/* Receiving. */
+
+static void learn(struct gossip *gossip, const struct member_entry *entry,
+		  int64_t now)
+{
+	struct member_info *member =
+		apr_hash_get(gossip->members, &entry->ip, sizeof(entry->ip));
+
+	if (entry->ip == gossip->self.ip || !entry->ip)
+		return;
+	if (!member) {
+		member = xcalloc(1, sizeof(*member));
+		member->addr = addr_text(gossip->pool, entry->ip, gossip->port);
+		member->entry = *entry;
+		member->heard_at = now;
+		apr_hash_set(gossip->members, &member->entry.ip,
+			     sizeof(member->entry.ip), member);
+		/* A newcomer is told at the next round, which is now. */
+		gossip->next_at = now;
+		count_live(gossip, now);
+		return;
+	}
+	/*
+	 * Another incarnation is a new process, but old news of the one before
+	 * may still go round: it is believed once the known one stands still.
+	 */
+	if (member->entry.incarnation != entry->incarnation) {
+		if (now - member->heard_at < PERIOD_US / 2 &&
+		    entry->beat > member->entry.beat)
+			return;
+	} else if (entry->beat <= member->entry.beat) {
+		return;
+	}
+	member->entry = *entry;
+	member->heard_at = now;
+}
+
+void gossip_msg(struct gossip *gossip, struct str body, int64_t now)
+{
+	struct member_entry *members;
+	apr_pool_t *pool;
+	size_t count;
+
+	apr_pool_create(&pool, gossip->pool);
+	if (!parcel_open_members(body, pool, &members, &count))
+		for (size_t i = 0; i < count; i++)
+			learn(gossip, &members[i], now);
+	apr_pool_destroy(pool);
+}
+
+bool gossip_reads(const struct gossip *gossip, int64_t now)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, gossip->members); it;
+	     it = apr_hash_next(it)) {
+		void *value;
+		const struct member_info *member;
+
+		apr_hash_this(it, NULL, NULL, &value);
+		member = value;
+		if (member->entry.domain == gossip->self.domain &&
+		    member->entry.ip < gossip->self.ip &&
+		    (member->entry.state & MEMBER_READS) &&
+		    gossip_is_live(member, now))
+			return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/gossip.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "parcel.h"
+#include "rng.h"
+
+/**
+ * DOC: which other nodes there are
+ *
+ * Each node counts a beat of its own and passes on the highest that it has
+ * seen of every other, to a few nodes a second. A node whose beat stands still
+ * is taken to be down. Seeds are asked until somebody is known.
+ */
+
+enum member_bits {
+	MEMBER_SERVES = 1, /* has a configuration and takes requests */
+	MEMBER_LEAVES = 2, /* planned stop */
+	MEMBER_READS = 4, /* the store answers it */
+};
+
+/**
+ * struct member_info - a node as it is known here
+ * @addr: "ip:port" between nodes
+ * @heard_at: when its beat last went up here
+ * @asked_at: oldest question that it has not answered, 0 for none
+ * @open: questions that it has not answered
+ * @rest_until: gets no questions until then
+ */
+struct member_info {
+	struct member_entry entry;
+	struct str addr;
+	int64_t heard_at;
+	int64_t asked_at;
+	int open;
+	int64_t rest_until;
+	double reply_us;
+};
+
+struct gossip {
+	apr_pool_t *pool;
+	struct flow_effects *fx;
+	struct rng *rng;
+	uint16_t port;
+	struct member_entry self;
+	apr_hash_t *members; /* ip -> struct member_info */
+	uint32_t seeds[SEEDS_MAX];
+	size_t nseeds;
+	int64_t next_at;
+	int live;
+	int most_live;
+	int64_t most_live_at;
+};
+
+/** gossip_init() - @domain: failure domain; @core: share of a core. */
+void gossip_init(struct gossip *gossip, apr_pool_t *pool,
+		 struct flow_effects *fx, struct rng *rng,
+		 const struct vm_settings *settings, uint64_t incarnation,
+		 int64_t now);
+void gossip_destroy(struct gossip *gossip);
+void gossip_seeds(struct gossip *gossip, const struct vm_settings *settings);
+/** gossip_tick() - tell a few nodes, if it is time. */
+void gossip_tick(struct gossip *gossip, int64_t now);
+/** gossip_announce() - tell all live nodes at once that the state changed. */
+void gossip_announce(struct gossip *gossip, int64_t now);
+/** gossip_msg() - members that another node knows. */
+void gossip_msg(struct gossip *gossip, struct str body, int64_t now);
+/** gossip_count() - nodes that may hold a part of shared bounds. */
+int gossip_count(const struct gossip *gossip);
+bool gossip_is_live(const struct member_info *member, int64_t now);
+struct member_info *gossip_find(struct gossip *gossip, struct str addr);
+/** gossip_is_seed() - this node is one of the seeds. */
+bool gossip_is_seed(const struct gossip *gossip);
+/**
+ * gossip_reads() - this node reads the store for its failure domain: it has
+ * the lowest address of those there that the store answers
+ */
+bool gossip_reads(const struct gossip *gossip, int64_t now);
--- a/merge.c
+++ b/merge.c
@@ -1,5 +1,6 @@
 #include "merge.h"
 
+#include "batch.h"
 #include "records.h"
 
 enum {
@@ -17,16 +18,29 @@
 	RETRY_AFTER_US = 300000,
 	/* The way back to the caller, and what a busy core needs to answer. */
 	RETURN_US = 12000,
+	/* A message to another node costs as much as a request to a target. */
+	BATCH_LEAST = 2,
 };
 
 /* A hedge at a slow target must still be in time itself. */
 static const double HEDGE_GOAL_PART = 0.3;
 /* Goals are short where little is merged; the return takes its part of them. */
 static const double SOFT_GOAL_PART = 0.75;
-
+/*
+ * Another node hedges by itself, so it is given longer than a target; then it
+ * is taken to be stuck, while targets can still be asked in time from here.
+ */
+static const double BATCH_GOAL_PART = 0.5;
+
+/**
+ * struct merge_state - what is there of the answer
+ * @fresh, @nfresh: shards in @records that the asking node was not told of
+ */
 struct merge_state {
 	struct records records;
 	struct buf signatures;
+	uint16_t *fresh;
+	size_t nfresh;
 };
 
 static apr_status_t free_state(void *data)
@@ -44,6 +58,21 @@
 	return done > 0 && (double)done + 1e-9 >= need;
 }
 
+int64_t merge_soft_at(const struct call *call)
+{
+	int64_t goal = call->route->goal_us;
+	int64_t soft = (int64_t)((double)goal * SOFT_GOAL_PART);
+
+	return call->start +
+	       (soft < goal - RETURN_US ? soft : goal - RETURN_US);
+}
+
+static int64_t merge_batch_at(const struct call *call)
+{
+	return call->start +
+	       (int64_t)((double)call->route->goal_us * BATCH_GOAL_PART);
+}
+
 static int64_t hedge_after(const struct call *call,
 			   const struct attempt *attempt)
 {
@@ -75,7 +104,8 @@
 static bool any_ran(const struct call *call)
 {
 	for (size_t i = 0; i < call->nparts; i++)
-		if (call->parts[i].ran || call->parts[i].open)
+		if (call->parts[i].ran || call->parts[i].open ||
+		    call->parts[i].again || call->parts[i].batched)
 			return true;
 	return false;
 }
@@ -105,15 +135,15 @@
 	for (size_t i = 0; i < call->nparts; i++) {
 		const struct part *part = &call->parts[i];
 
-		if (part->done || part->open ||
+		if (part->done || part->open || part->batched ||
 		    (waiting_counts && may_try_again(call, part)))
 			possible++;
 	}
 	return possible;
 }
 
-/* Return: true when the call has ended. */
-static bool settle(struct calls *calls, struct call *call)
+/* For a caller. Return: true when the call has ended. */
+static bool settle_answer(struct calls *calls, struct call *call)
 {
 	bool late = calls->now >= call->soft_at;
 	size_t possible = count_possible(call, !late);
@@ -138,6 +168,42 @@
 	return false;
 }
 
+static void tell_asker(struct calls *calls, struct call *call, bool last)
+{
+	struct merge_state *state = call->state;
+
+	batch_tell(calls, call, state->fresh, state->nfresh,
+		   records_str(&state->records), buf_str(&state->signatures),
+		   last);
+	state->nfresh = 0;
+	state->records.count = 0;
+	state->signatures.len = 0;
+}
+
+/*
+ * For another node, which knows what is enough: it is told all that is there
+ * at the soft deadline, and each shard that comes later as it comes.
+ */
+static bool settle_batch(struct calls *calls, struct call *call)
+{
+	const struct merge_state *state = call->state;
+	bool late = calls->now >= call->soft_at;
+	bool last = count_possible(call, !late) == call->ndone ||
+		    calls->now >= call->give_up_at;
+
+	if (last || (late && state->nfresh))
+		tell_asker(calls, call, last);
+	if (last)
+		call_finish(calls, call);
+	return last;
+}
+
+static bool settle(struct calls *calls, struct call *call)
+{
+	return call->asker.len ? settle_batch(calls, call)
+			       : settle_answer(calls, call);
+}
+
 static void plan_review(struct calls *calls, struct call *call)
 {
 	int64_t when =
@@ -156,7 +222,8 @@
 	for (size_t i = 0; i < call->nparts; i++) {
 		const struct part *part = &call->parts[i];
 
-		if (!part->done && !part->open && may_try_again(call, part) &&
+		if (!part->done && !part->open && !part->batched &&
+		    may_try_again(call, part) &&
 		    calls->now + LOOK_AGAIN_US < when)
 			when = calls->now + LOOK_AGAIN_US;
 	}
@@ -168,7 +235,7 @@
 	for (size_t i = 0; i < call->nparts; i++) {
 		struct part *part = &call->parts[i];
 
-		if (!part->done && !part->open)
+		if (!part->done && !part->open && !part->batched)
 			call_send(calls, call, i);
 	}
 	/* call_send() puts new attempts in front of those that are walked. */
@@ -182,6 +249,8 @@
 {
 	if (settle(calls, call))
 		return;
+	if (calls->now >= merge_batch_at(call))
+		batch_overdue(calls, call);
 	hedge(calls, call);
 	plan_review(calls, call);
 }
@@ -197,32 +266,153 @@
 	return reachable;
 }
 
-static void begin(struct calls *calls, struct call *call)
+static void hand_over(struct calls *calls, struct call *call,
+		      struct member_info *member, const uint16_t *parts,
+		      size_t nparts)
+{
+	for (size_t i = 0; i < nparts; i++)
+		call->parts[parts[i]].batched = true;
+	batch_send(calls, call, member, parts, nparts);
+}
+
+/* Shards whose best target is in @domain, and that nobody has yet. */
+static size_t collect(struct calls *calls, const struct call *call,
+		      uint64_t domain, uint16_t *parts)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < call->nparts; i++) {
+		const struct part *part = &call->parts[i];
+
+		if (part->open || part->batched)
+			continue;
+		if (roster_holds(calls->roster, part->service, domain,
+				 calls->now))
+			parts[count++] = (uint16_t)i;
+	}
+	return count;
+}
+
+/* The failure domain that holds most of the shards that nobody has yet. */
+static uint64_t best_domain(struct calls *calls, const struct call *call,
+			    uint16_t *parts)
+{
+	const struct spread *spread = calls->batches->spread;
+	uint64_t domains[SPREAD_DOMAINS_MAX];
+	size_t count = spread_domains(spread, domains);
+	uint64_t best = 0;
+	size_t most = BATCH_LEAST - 1;
+
+	for (size_t i = 0; i < count; i++) {
+		size_t held = collect(calls, call, domains[i], parts);
+
+		if (held <= most)
+			continue;
+		most = held;
+		best = domains[i];
+	}
+	return best;
+}
+
+/* Shards without a good target in this failure domain go to nodes elsewhere. */
+static void send_far(struct calls *calls, struct call *call)
+{
+	struct spread *spread = calls->batches->spread;
+	uint16_t *parts =
+		apr_palloc(call->pool, (call->nparts + 1) * sizeof(*parts));
+
+	for (int i = 0; i < SPREAD_DOMAINS_MAX; i++) {
+		uint64_t domain = best_domain(calls, call, parts);
+		struct member_info *member;
+		size_t count;
+
+		if (!domain)
+			return;
+		member = spread_choose(spread, call->catalog, call->route,
+				       domain, calls->now);
+		if (!member)
+			return;
+		count = collect(calls, call, domain, parts);
+		hand_over(calls, call, member, parts, count);
+	}
+}
+
+static void send_near(struct calls *calls, struct call *call)
+{
+	for (size_t i = 0; i < call->nparts; i++)
+		if (roster_near_first(calls->roster, call->parts[i].service,
+				      calls->now))
+			call_send(calls, call, i);
+}
+
+static void send_rest(struct calls *calls, struct call *call)
+{
+	for (size_t i = 0; i < call->nparts; i++)
+		if (!call->parts[i].open && !call->parts[i].batched)
+			call_send(calls, call, i);
+}
+
+/* Return: true if another node was asked for the whole question. */
+static bool send_whole(struct calls *calls, struct call *call)
+{
+	struct spread *spread = calls->batches->spread;
+	struct member_info *member;
+	uint16_t *parts;
+
+	if (spread_here(spread, call->catalog, call->route, calls->now))
+		return false;
+	member = spread_choose(spread, call->catalog, call->route, 0,
+			       calls->now);
+	if (!member)
+		return false;
+	parts = apr_palloc(call->pool, (call->nparts + 1) * sizeof(*parts));
+	for (size_t i = 0; i < call->nparts; i++)
+		parts[i] = (uint16_t)i;
+	hand_over(calls, call, member, parts, call->nparts);
+	return true;
+}
+
+static void prepare(struct calls *calls, struct call *call)
 {
 	const struct route *route = call->route;
 	struct merge_state *state =
 		apr_pcalloc(call->pool, sizeof(struct merge_state));
-	int64_t soft = (int64_t)((double)route->goal_us * SOFT_GOAL_PART);
 
+	(void)calls;
 	call->state = state;
 	apr_pool_cleanup_register(call->pool, state, free_state,
 				  apr_pool_cleanup_null);
 	records_init(&state->records, route->top, call->pool);
-	call->nparts = route->nshards;
+	state->fresh = apr_palloc(call->pool,
+				  (route->nshards + 1) * sizeof(*state->fresh));
+	call->soft_at = merge_soft_at(call);
+	call->nparts = call->wanted ? call->nwanted : route->nshards;
 	call->parts = apr_pcalloc(call->pool,
-				  (route->nshards + 1) * sizeof(*call->parts));
-	for (size_t i = 0; i < route->nshards; i++)
-		call->parts[i].service = route->shards[i];
-	if (soft > route->goal_us - RETURN_US)
-		soft = route->goal_us - RETURN_US;
-	call->soft_at = calls->now + soft;
-	if (!merge_enough(route, count_reachable(calls, call))) {
+				  (call->nparts + 1) * sizeof(*call->parts));
+	for (size_t i = 0; i < call->nparts; i++)
+		call->parts[i].service =
+			route->shards[call->wanted ? call->wanted[i] : i];
+}
+
+static void begin(struct calls *calls, struct call *call)
+{
+	prepare(calls, call);
+	if (call->asker.len) {
+		send_rest(calls, call);
+		if (!settle(calls, call))
+			plan_review(calls, call);
+		return;
+	}
+	if (!merge_enough(call->route, count_reachable(calls, call))) {
 		call_refuse(calls, call, 503, "too few shards have a target",
 			    RETRY_AFTER_US);
 		return;
 	}
-	for (size_t i = 0; i < call->nparts; i++)
-		call_send(calls, call, i);
+	if (!send_whole(calls, call)) {
+		send_near(calls, call);
+		send_far(calls, call);
+		send_rest(calls, call);
+	}
 	plan_review(calls, call);
 }
 
@@ -232,30 +422,80 @@
 	       reply->signature.len && !reply->encoded;
 }
 
+static void take(struct call *call, struct str records, struct str signatures)
+{
+	struct merge_state *state = call->state;
+
+	records_take(&state->records, records);
+	if (state->signatures.len)
+		buf_str_add(&state->signatures, STR(", "));
+	buf_str_add(&state->signatures, signatures);
+}
+
+static void take_part(struct call *call, size_t index)
+{
+	struct merge_state *state = call->state;
+
+	call->parts[index].done = true;
+	call->parts[index].batched = false;
+	call->ndone++;
+	state->fresh[state->nfresh++] =
+		call->wanted ? call->wanted[index] : (uint16_t)index;
+}
+
 static void replied(struct calls *calls, struct call *call,
 		    const struct attempt *attempt,
 		    const struct flow_reply *reply)
 {
-	struct part *part = &call->parts[attempt->part];
-	struct merge_state *state = call->state;
-
 	if (is_part(reply)) {
-		part->done = true;
-		call->ndone++;
-		records_take(&state->records, reply->body);
-		if (state->signatures.len)
-			buf_str_add(&state->signatures, STR(", "));
-		buf_str_add(&state->signatures, reply->signature);
-	} else if (!part->open) {
+		take_part(call, attempt->part);
+		take(call, reply->body, reply->signature);
+	} else if (!call->parts[attempt->part].open) {
 		call_send(calls, call, attempt->part);
 	}
 	if (!settle(calls, call) && !is_part(reply))
 		plan_review(calls, call);
 }
 
+static void batch_replied(struct calls *calls, struct call *call,
+			  const uint16_t *parts, size_t nparts,
+			  const struct msg *msg)
+{
+	for (size_t i = 0; i < nparts; i++)
+		take_part(call, parts[i]);
+	take(call, msg->body, msg->text);
+	settle(calls, call);
+}
+
+static void batch_failed(struct calls *calls, struct call *call,
+			 const uint16_t *parts, size_t nparts, bool ran)
+{
+	for (size_t i = 0; i < nparts; i++) {
+		call->parts[parts[i]].batched = false;
+		call->parts[parts[i]].again = ran;
+		call_send(calls, call, parts[i]);
+	}
+	if (!settle(calls, call))
+		plan_review(calls, call);
+}
+
+static void ended(struct calls *calls, struct call *call)
+{
+	batch_cancel_all(calls, call);
+}
+
+void merge_init(struct calls *calls, struct batch_book *batches)
+{
+	batches->replied = batch_replied;
+	batches->failed = batch_failed;
+	calls->batches = batches;
+	calls->shards_kind = &merge_kind;
+}
+
 const struct call_kind merge_kind = {
 	.name = "merge",
 	.begin = begin,
 	.replied = replied,
 	.review = review,
+	.ended = ended,
 };
--- a/msg.h
+++ b/msg.h
@@ -15,6 +15,13 @@
  * an entry to the issuer of its ticket. LEASE asks for a customer's tokens.
  * HANDOVER tells the next gate of a target what this one knew of it: @amount
  * is the limit, @service_us the baseline, @wait_us the hold, @hash the boot id.
+ *
+ * GOSSIP brings members in @body. RELINK asks the receiver to open a new
+ * connection to the sender. ITEMS brings published keys in @body: all that
+ * changed after revision @key up to @version, read @fresh_us ago; ITEMS_GET
+ * asks for those after @version. ASK has another node merge a question, @body
+ * is the request, @version the configuration that it needs at least; ASK_REPLY
+ * brings records in @body, signatures in @text, shards left out in @shard.
  */
 enum msg_kind {
 	MSG_NONE,
@@ -35,6 +42,13 @@
 	MSG_LEASE,
 	MSG_LEASE_REPLY,
 	MSG_HANDOVER,
+	MSG_GOSSIP,
+	MSG_RELINK,
+	MSG_ITEMS,
+	MSG_ITEMS_GET,
+	MSG_ASK,
+	MSG_ASK_REPLY,
+	MSG_ASK_CANCEL,
 	MSG_KINDS,
 };
 
--- /dev/null
+++ b/parcel.c
@@ -0,0 +1,160 @@
+#include "parcel.h"
+
+#include <stdlib.h>
+
+#include "wire.pb-c.h"
+#include "xmalloc.h"
+
+static ProtobufCBinaryData to_bytes(struct str s)
+{
+	return (ProtobufCBinaryData){ s.len, (uint8_t *)s.ptr };
+}
+
+static struct str from_bytes(ProtobufCBinaryData data, apr_pool_t *pool)
+{
+	return str_dup(pool, (struct str){ (const char *)data.data, data.len });
+}
+
+void parcel_items(const struct store_item *items, size_t count, struct buf *out)
+{
+	Wire__Items wire = WIRE__ITEMS__INIT;
+	Wire__Item *list = xcalloc(count + 1, sizeof(*list));
+	Wire__Item **ptrs = xcalloc(count + 1, sizeof(*ptrs));
+	size_t len;
+
+	for (size_t i = 0; i < count; i++) {
+		wire__item__init(&list[i]);
+		list[i].key = to_bytes(items[i].key);
+		list[i].value = to_bytes(items[i].value);
+		list[i].revision = items[i].revision;
+		list[i].deleted = items[i].deleted;
+		ptrs[i] = &list[i];
+	}
+	wire.n_items = count;
+	wire.items = ptrs;
+	len = wire__items__get_packed_size(&wire);
+	buf_reserve(out, len + 1);
+	wire__items__pack(&wire, (uint8_t *)out->ptr + out->len);
+	out->len += len;
+	free(ptrs);
+	free(list);
+}
+
+int parcel_open_items(struct str body, apr_pool_t *pool,
+		      struct store_item **items, size_t *count)
+{
+	Wire__Items *wire =
+		wire__items__unpack(NULL, body.len, (const uint8_t *)body.ptr);
+
+	*count = 0;
+	if (!wire)
+		return ERR_FRAME;
+	*items = apr_pcalloc(pool, (wire->n_items + 1) * sizeof(**items));
+	for (size_t i = 0; i < wire->n_items; i++)
+		(*items)[i] = (struct store_item){
+			.key = from_bytes(wire->items[i]->key, pool),
+			.value = from_bytes(wire->items[i]->value, pool),
+			.revision = wire->items[i]->revision,
+			.deleted = wire->items[i]->deleted,
+		};
+	*count = wire->n_items;
+	wire__items__free_unpacked(wire, NULL);
+	return 0;
+}
+
+void parcel_members(const struct member_entry *members, size_t count,
+		    struct buf *out)
+{
+	Wire__Members wire = WIRE__MEMBERS__INIT;
+	Wire__Member *list = xcalloc(count + 1, sizeof(*list));
+	Wire__Member **ptrs = xcalloc(count + 1, sizeof(*ptrs));
+	size_t len;
+
+	for (size_t i = 0; i < count; i++) {
+		wire__member__init(&list[i]);
+		list[i].ip = members[i].ip;
+		list[i].incarnation = members[i].incarnation;
+		list[i].beat = members[i].beat;
+		list[i].domain = members[i].domain;
+		list[i].core = members[i].core;
+		list[i].state = members[i].state;
+		list[i].revision = members[i].revision;
+		list[i].version = members[i].version;
+		ptrs[i] = &list[i];
+	}
+	wire.n_members = count;
+	wire.members = ptrs;
+	len = wire__members__get_packed_size(&wire);
+	buf_reserve(out, len + 1);
+	wire__members__pack(&wire, (uint8_t *)out->ptr + out->len);
+	out->len += len;
+	free(ptrs);
+	free(list);
+}
+
+int parcel_open_members(struct str body, apr_pool_t *pool,
+			struct member_entry **members, size_t *count)
+{
+	Wire__Members *wire = wire__members__unpack(NULL, body.len,
+						    (const uint8_t *)body.ptr);
+
+	*count = 0;
+	if (!wire)
+		return ERR_FRAME;
+	*members = apr_pcalloc(pool, (wire->n_members + 1) * sizeof(**members));
+	for (size_t i = 0; i < wire->n_members; i++) {
+		const Wire__Member *from = wire->members[i];
+
+		(*members)[i] = (struct member_entry){
+			.ip = from->ip,
+			.incarnation = from->incarnation,
+			.beat = from->beat,
+			.domain = from->domain,
+			.core = from->core,
+			.state = from->state,
+			.revision = from->revision,
+			.version = from->version,
+		};
+	}
+	*count = wire->n_members;
+	wire__members__free_unpacked(wire, NULL);
+	return 0;
+}
+
+void parcel_request(const struct flow_request *request, struct buf *out)
+{
+	Wire__Ask wire = WIRE__ASK__INIT;
+	size_t len;
+
+	wire.method = to_bytes(request->method);
+	wire.uri = to_bytes(request->uri);
+	wire.host = to_bytes(request->host);
+	wire.request_id = to_bytes(request->request_id);
+	wire.headers = to_bytes(request->headers);
+	wire.body = to_bytes(request->body);
+	len = wire__ask__get_packed_size(&wire);
+	buf_reserve(out, len + 1);
+	wire__ask__pack(&wire, (uint8_t *)out->ptr + out->len);
+	out->len += len;
+}
+
+int parcel_open_request(struct str body, apr_pool_t *pool,
+			struct flow_request *request)
+{
+	Wire__Ask *wire =
+		wire__ask__unpack(NULL, body.len, (const uint8_t *)body.ptr);
+
+	if (!wire)
+		return ERR_FRAME;
+	*request = (struct flow_request){
+		.method = from_bytes(wire->method, pool),
+		.uri = from_bytes(wire->uri, pool),
+		.host = from_bytes(wire->host, pool),
+		.request_id = from_bytes(wire->request_id, pool),
+		.headers = from_bytes(wire->headers, pool),
+		.body = from_bytes(wire->body, pool),
+		.time_left_us = -1,
+	};
+	wire__ask__free_unpacked(wire, NULL);
+	return 0;
+}
--- a/peer.c
+++ b/peer.c
@@ -17,6 +17,11 @@
 	READ_SIZE = 64 * 1024,
 	OUT_MAX = 16 * 1024 * 1024,
 	RETRY_US = 100000,
+	/*
+	 * A VM without power answers nothing, and a connection to it hangs: it
+	 * is given up after this long, also one that takes no more bytes.
+	 */
+	SILENT_US = 1000000,
 };
 
 /** struct link - connection to a node, opened by this one */
@@ -27,6 +32,7 @@
 	int fd;
 	struct watch *watch;
 	bool connecting;
+	int64_t opened_at;
 	int64_t retry_at;
 	struct buf out;
 	struct msg *queue;
@@ -125,6 +131,7 @@
 
 static int open_socket(struct str addr, struct sockaddr_in *sin)
 {
+	unsigned int silent_ms = SILENT_US / 1000;
 	char ip[INET_ADDRSTRLEN];
 	uint16_t port;
 	int one = 1;
@@ -136,8 +143,11 @@
 	inet_pton(AF_INET, ip, &sin->sin_addr);
 	sin->sin_port = htons(port);
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd >= 0)
-		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	if (fd < 0)
+		return fd;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms,
+		   sizeof(silent_ms));
 	return fd;
 }
 
@@ -151,6 +161,7 @@
 	if (link->fd < 0)
 		return;
 	link->connecting = true;
+	link->opened_at = loop_now();
 	link->watch = loop_add(link->peers->loop, link->fd,
 			       APR_POLLIN | APR_POLLOUT, on_link, link);
 	if (connect(link->fd, (struct sockaddr *)&sin, sizeof(sin)) &&
@@ -224,8 +235,13 @@
 		struct link *link = value;
 
 		link_encode(link);
-		if (link->fd < 0 || link->connecting || !link->out.len)
+		if (link->fd < 0 || !link->out.len)
+			continue;
+		if (link->connecting) {
+			if (loop_now() - link->opened_at > SILENT_US)
+				link_close(link, true);
 			continue;
+		}
 		if (link->out.len > OUT_MAX)
 			link_close(link, true);
 		else
@@ -233,6 +249,17 @@
 	}
 }
 
+void peers_reset(struct peers *peers, struct str addr)
+{
+	uint64_t key = str_hash(addr);
+	struct link *link = apr_hash_get(peers->links, &key, sizeof(key));
+
+	if (!link)
+		return;
+	link_close(link, false);
+	link->retry_at = 0;
+}
+
 static void inlet_free(struct inlet *inlet)
 {
 	loop_del(inlet->watch);
--- a/peer.h
+++ b/peer.h
@@ -32,6 +32,8 @@
 /** peers_send() - queue a message; its strings must live until the flush. */
 void peers_send(struct peers *peers, struct str addr, uint64_t incarnation,
 		const struct msg *msg);
+/** peers_reset() - drop the connection to @addr; the next message opens one. */
+void peers_reset(struct peers *peers, struct str addr);
 /** peers_flush() - encode what is queued and write what the sockets take. */
 void peers_flush(struct peers *peers);
 void peers_destroy(struct peers *peers);
--- a/reader.c
+++ b/reader.c
@@ -12,6 +12,8 @@
 	/* After a failure, doubled with each in a row up to the most. */
 	PAUSE_US = 100000,
 	PAUSE_MOST_US = 400000,
+	/* After this long without reading the store is worth a try again. */
+	REST_US = 5000000,
 };
 
 void reader_init(struct reader *reader, struct directory *dir,
@@ -59,9 +61,22 @@
 	call_range(reader);
 }
 
+void reader_active(struct reader *reader, bool active, int64_t now)
+{
+	if (active && !reader->active && now > reader->idle_since + REST_US)
+		reader->failures = 0;
+	if (!active && reader->active)
+		reader->idle_since = now;
+	/* Others have told all that a read of all keys would. */
+	if (reader->dir->revision)
+		reader->need_range = reader->need_range && !reader->dir->told;
+	reader->active = active;
+}
+
 void reader_tick(struct reader *reader, int64_t now)
 {
-	if (reader->state != READER_IDLE || now < reader->next_at)
+	if (!reader->active || reader->state != READER_IDLE ||
+	    now < reader->next_at)
 		return;
 	if (reader->need_range)
 		begin_range(reader);
@@ -112,7 +127,8 @@
 		directory_whole(reader->dir, reader->first_revision, now);
 		reader->need_range = false;
 		reader->whole = true;
-		call_watch(reader);
+		reader->state = READER_IDLE;
+		reader->next_at = now;
 		return;
 	}
 	call_range(reader);
@@ -147,10 +163,12 @@
 	if (reply->reply->revision > reader->dir->revision)
 		reader->dir->revision = reply->reply->revision;
 	reader->dir->notes->revision = reader->dir->revision;
-	call_watch(reader);
+	reader->state = READER_IDLE;
+	reader->next_at = now;
 }
 
 int64_t reader_wake_at(const struct reader *reader)
 {
-	return reader->state == READER_IDLE ? reader->next_at : INT64_MAX;
+	return reader->active && reader->state == READER_IDLE ? reader->next_at
+							      : INT64_MAX;
 }
--- a/reader.h
+++ b/reader.h
@@ -24,6 +24,8 @@
  * @first_revision: of the store when this read of all keys began
  * @next_at: when the next call is due, if none is under way
  * @failures: in a row
+ * @idle_since: when it last stopped reading
+ * @active: this node reads; others tell it what they read when it does not
  * @whole: all keys have been read once
  */
 struct reader {
@@ -35,6 +37,8 @@
 	uint64_t first_revision;
 	int64_t next_at;
 	int failures;
+	int64_t idle_since;
+	bool active;
 	bool whole;
 	bool need_range;
 };
@@ -42,6 +46,9 @@
 void reader_init(struct reader *reader, struct directory *dir,
 		 struct flow_effects *fx, int64_t now);
 void reader_destroy(struct reader *reader);
+/** reader_active() - read from now on, or let the call under way be the last.
+ */
+void reader_active(struct reader *reader, bool active, int64_t now);
 /** reader_tick() - start the next call if it is due. */
 void reader_tick(struct reader *reader, int64_t now);
 /** reader_reply() - what came of the call under way. */
--- a/roster.c
+++ b/roster.c
@@ -44,6 +44,7 @@
 	uint64_t service;
 	struct live_target *first;
 	int cold_per_second;
+	int conns;
 };
 
 struct roster {
@@ -144,6 +145,7 @@
 	target->id = str_keep(entry->id);
 	target->addr = str_keep(entry->addr);
 	target->domain = str_keep(entry->domain);
+	target->domain_key = str_hash(entry->domain);
 	target->near = str_eq(entry->domain, roster->domain);
 	target->service = entry->service;
 	target->born_ms = entry->born_ms;
@@ -226,7 +228,13 @@
 
 void roster_store_lost(struct roster *roster, int64_t now)
 {
-	roster->store_lost_at = now;
+	if (now > roster->store_lost_at)
+		roster->store_lost_at = now;
+}
+
+int64_t roster_store_lost_at(const struct roster *roster)
+{
+	return roster->store_lost_at;
 }
 
 void roster_cold_bound(struct roster *roster, uint64_t service, int per_second)
@@ -234,14 +242,22 @@
 	group_get(roster, service)->cold_per_second = per_second;
 }
 
+void roster_conn_bound(struct roster *roster, uint64_t service, int conns)
+{
+	group_get(roster, service)->conns = conns;
+}
+
 /* Choice. */
 
-static bool cold_is_full(const struct roster *roster,
-			 const struct live_target *target, int64_t now)
+static const struct group *group_find(const struct roster *roster,
+				      uint64_t service)
 {
-	const struct group *group = apr_hash_get(
-		roster->groups, &target->service, sizeof(target->service));
+	return apr_hash_get(roster->groups, &service, sizeof(service));
+}
 
+static bool cold_is_full(const struct group *group,
+			 const struct live_target *target, int64_t now)
+{
 	if (now >= target->cold_until || !group || !group->cold_per_second)
 		return false;
 	return now - target->cold_second < SECOND_US &&
@@ -251,9 +267,10 @@
 enum target_use roster_use(const struct roster *roster,
 			   const struct live_target *target, int64_t now)
 {
-	uint64_t domain = str_hash(target->domain);
+	const struct group *group = group_find(roster, target->service);
 
-	if (apr_hash_get(roster->out, &domain, sizeof(domain)))
+	if (apr_hash_get(roster->out, &target->domain_key,
+			 sizeof(target->domain_key)))
 		return USE_DOMAIN_OUT;
 	/*
 	 * While the store was away entries lapse though their targets live.
@@ -265,8 +282,10 @@
 		return USE_LEAVING;
 	if (now < target->rest_until)
 		return USE_RESTING;
-	if (cold_is_full(roster, target, now))
+	if (cold_is_full(group, target, now))
 		return USE_COLD;
+	if (group && group->conns && target->inflight >= group->conns)
+		return USE_BUSY;
 	return USE_OK;
 }
 
@@ -311,8 +330,7 @@
 
 struct live_target *roster_first(const struct roster *roster, uint64_t service)
 {
-	const struct group *group =
-		apr_hash_get(roster->groups, &service, sizeof(service));
+	const struct group *group = group_find(roster, service);
 
 	return group ? group->first : NULL;
 }
@@ -348,6 +366,25 @@
 	return false;
 }
 
+bool roster_near_first(struct roster *roster, uint64_t service, int64_t now)
+{
+	struct choice choice = { .service = service, .now = now };
+	const struct live_target *target = roster_choose(roster, &choice);
+
+	return target && target->near;
+}
+
+bool roster_holds(const struct roster *roster, uint64_t service,
+		  uint64_t domain, int64_t now)
+{
+	for (struct live_target *target = roster_first(roster, service); target;
+	     target = target->next)
+		if (target->domain_key == domain &&
+		    roster_use(roster, target, now) == USE_OK)
+			return true;
+	return false;
+}
+
 size_t roster_count(const struct roster *roster)
 {
 	return roster->count;
--- a/roster.h
+++ b/roster.h
@@ -18,11 +18,14 @@
 	USE_DOMAIN_OUT,
 	USE_RESTING, /* failed just now, or tells that it is full */
 	USE_COLD, /* has its share of requests for this second */
+	USE_BUSY, /* has as many requests of this node as its connections bear
+		   */
 };
 
 /**
  * struct live_target - a published target
  * @key: hash of the id
+ * @domain_key: hash of its failure domain
  * @near: in this node's failure domain
  * @listed: its entry is in the store
  * @left_at: when its entry went, or said that it is leaving; 0: it has not
@@ -41,6 +44,7 @@
 	uint64_t service;
 	struct str addr;
 	struct str domain;
+	uint64_t domain_key;
 	int64_t born_ms;
 	int slots;
 	bool near;
@@ -84,11 +88,15 @@
 void roster_domain(struct roster *roster, struct str domain, bool out);
 /** roster_store_lost() - entries may vanish that are still alive. */
 void roster_store_lost(struct roster *roster, int64_t now);
+/** roster_store_lost_at() - when that was last so. */
+int64_t roster_store_lost_at(const struct roster *roster);
 /**
  * roster_cold_bound() - requests a second that this node may send to a cold
  * target of @service; 0 for no bound
  */
 void roster_cold_bound(struct roster *roster, uint64_t service, int per_second);
+/** roster_conn_bound() - requests of this node that a target may have. */
+void roster_conn_bound(struct roster *roster, uint64_t service, int conns);
 
 /**
  * roster_choose() - best target for a request, or NULL when none may have it
@@ -104,6 +112,11 @@
 			   const struct live_target *target, int64_t now);
 /** roster_any() - some target of @service may be asked now. */
 bool roster_any(const struct roster *roster, uint64_t service, int64_t now);
+/** roster_near_first() - the best target now is in this failure domain. */
+bool roster_near_first(struct roster *roster, uint64_t service, int64_t now);
+/** roster_holds() - a target in @domain may be asked now. */
+bool roster_holds(const struct roster *roster, uint64_t service,
+		  uint64_t domain, int64_t now);
 /** roster_first() - targets of a service, linked by next. */
 struct live_target *roster_first(const struct roster *roster, uint64_t service);
 size_t roster_count(const struct roster *roster);
--- /dev/null
+++ b/share.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "gossip.h"
+#include "reader.h"
+
+/**
+ * DOC: what the store says, from node to node
+ *
+ * One node of a failure domain reads the store and tells the others there, so
+ * calls to the store grow with domains, not with nodes. A node that has not
+ * heard for a while reads by itself; one that the store turns away learns from
+ * any node that knows more.
+ */
+
+/**
+ * struct share - the state of that
+ * @pushed: revision that the others of the domain were told last
+ * @asked_at: when more was last asked for
+ * @started_at: of the process
+ */
+struct share {
+	struct gossip *gossip;
+	struct reader *reader;
+	struct directory *dir;
+	struct flow_effects *fx;
+	uint64_t pushed;
+	int64_t asked_at;
+	int64_t started_at;
+	int64_t pushed_at;
+};
+
+void share_init(struct share *share, struct gossip *gossip,
+		struct reader *reader, struct flow_effects *fx, int64_t now);
+/** share_tick() - decide whether this node reads; ask others for more. */
+void share_tick(struct share *share, int64_t now);
+/** share_read() - the store has answered this node. */
+void share_read(struct share *share, int64_t now);
+/** share_items() - another node tells what it read. */
+void share_items(struct share *share, struct str from, const struct msg *msg,
+		 int64_t now);
+/** share_wanted() - another node asks for what it does not know. */
+void share_wanted(struct share *share, struct str from, const struct msg *msg,
+		  int64_t now);
+/** share_wake_at() - when share_tick() is due at the latest. */
+int64_t share_wake_at(const struct share *share);
--- a/tier.c
+++ b/tier.c
@@ -2,10 +2,13 @@
 
 #include <stdlib.h>
 
+#include "batch.h"
 #include "forward.h"
 #include "merge.h"
 #include "note.h"
 #include "reader.h"
+#include "share.h"
+#include "spread.h"
 #include "xmalloc.h"
 
 enum {
@@ -32,6 +35,10 @@
 	struct directory dir;
 	struct reader reader;
 	struct calls calls;
+	struct gossip gossip;
+	struct share share;
+	struct spread spread;
+	struct batch_book batches;
 	bool ready;
 	int64_t stop_at;
 	bool stopped;
@@ -70,12 +77,21 @@
 		budget_create(tier->pool, rules_of(&tier->settings));
 	tier->calls.fx = fx;
 	tier->calls.notes = &tier->notes;
+	gossip_init(&tier->gossip, tier->pool, fx, &tier->calls.rng,
+		    &tier->settings, opt->incarnation, now);
+	share_init(&tier->share, &tier->gossip, &tier->reader, fx, now);
+	spread_init(&tier->spread, &tier->gossip, tier->roster,
+		    &tier->calls.rng);
+	batch_book_init(&tier->batches, tier->pool, &tier->gossip,
+			&tier->spread);
+	merge_init(&tier->calls, &tier->batches);
 	return tier;
 }
 
 void tier_destroy(struct tier *tier)
 {
 	calls_destroy(&tier->calls);
+	gossip_destroy(&tier->gossip);
 	budget_destroy(tier->calls.budget);
 	reader_destroy(&tier->reader);
 	directory_destroy(&tier->dir);
@@ -144,6 +160,11 @@
 	tier->ready = ready;
 	fx = flow_add(tier->fx, FLOW_READY);
 	fx->on = ready;
+	if (ready)
+		tier->gossip.self.state |= MEMBER_SERVES;
+	else
+		tier->gossip.self.state |= MEMBER_LEAVES;
+	gossip_announce(&tier->gossip, tier->calls.now);
 	note_belief(&tier->notes, tier->calls.now, "ready",
 		    ready ? STR("yes") : STR("no"),
 		    ready ? "a configuration is in force" : "planned stop",
@@ -185,9 +206,60 @@
 	budget_rules(tier->calls.budget, rules_of(settings));
 	tier->dir.cold_factor = settings->cold_factor;
 	tier->dir.cold_extra = settings->cold_extra;
+	gossip_seeds(&tier->gossip, settings);
 	directory_bounds(&tier->dir, tier->dir.nodes);
 }
 
+/* Other nodes. */
+
+static void on_msg(struct tier *tier, const struct flow_event *event)
+{
+	const struct msg *msg = event->msg;
+	struct flow_effect *fx;
+
+	switch (msg->kind) {
+	case MSG_GOSSIP:
+		gossip_msg(&tier->gossip, msg->body, event->now);
+		break;
+	case MSG_RELINK:
+		fx = flow_add(tier->fx, FLOW_RESET_PEER);
+		fx->addr = str_dup(tier->fx->pool, event->from);
+		break;
+	case MSG_ITEMS:
+		share_items(&tier->share, event->from, msg, event->now);
+		tell_limits(tier);
+		break;
+	case MSG_ITEMS_GET:
+		share_wanted(&tier->share, event->from, msg, event->now);
+		break;
+	case MSG_ASK:
+		batch_asked(&tier->calls, tier->dir.catalog, event->from,
+			    event->incarnation, msg);
+		break;
+	case MSG_ASK_REPLY:
+		batch_on_reply(&tier->calls, event->from, msg);
+		break;
+	case MSG_ASK_CANCEL:
+		batch_cancelled(&tier->calls, event->from, msg);
+		break;
+	default:
+		/* Of the other kind of node, which serves its own interface. */
+		break;
+	}
+}
+
+static void count_nodes(struct tier *tier)
+{
+	int nodes = gossip_count(&tier->gossip);
+
+	if (nodes == tier->dir.nodes)
+		return;
+	note_belief(&tier->notes, tier->calls.now, "nodes", STR("all"),
+		    "heard of", (uint64_t)nodes);
+	directory_bounds(&tier->dir, nodes);
+	budget_nodes(tier->calls.budget, nodes);
+}
+
 static void run_timers(struct tier *tier)
 {
 	struct timer due;
@@ -215,10 +287,15 @@
 		break;
 	case FLOW_STORE:
 		reader_reply(&tier->reader, event->store, event->now);
+		if (event->store->ok && tier->reader.state == READER_IDLE)
+			share_read(&tier->share, event->now);
 		tell_limits(tier);
 		break;
 	case FLOW_MSG:
+		on_msg(tier, event);
+		break;
 	case FLOW_PEER_LOST:
+		batch_on_lost(&tier->calls, event->from);
 		break;
 	case FLOW_SETTINGS:
 		on_settings(tier, event->settings);
@@ -228,6 +305,9 @@
 		break;
 	}
 	run_timers(tier);
+	share_tick(&tier->share, event->now);
+	gossip_tick(&tier->gossip, event->now);
+	count_nodes(tier);
 	reader_tick(&tier->reader, event->now);
 	if (!tier->stop_at && tier->dir.catalog)
 		set_ready(tier, true);
@@ -244,8 +324,14 @@
 	int64_t when = timer_next(&tier->calls.timers);
 	int64_t read_at = reader_wake_at(&tier->reader);
 
+	int64_t share_at = share_wake_at(&tier->share);
+
 	if (read_at < when)
 		when = read_at;
+	if (tier->gossip.next_at < when)
+		when = tier->gossip.next_at;
+	if (!tier->reader.active && share_at < when)
+		when = share_at;
 	if (tier->stop_at && !tier->calls.nopen && tier->stop_at < when)
 		when = tier->stop_at;
 	return when;
--- a/wire.pb-c.c
+++ b/wire.pb-c.c
@@ -97,6 +97,231 @@
   assert(message->base.descriptor == &wire__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__item__init
+                     (Wire__Item         *message)
+{
+  static const Wire__Item init_value = WIRE__ITEM__INIT;
+  *message = init_value;
+}
+size_t wire__item__get_packed_size
+                     (const Wire__Item *message)
+{
+  assert(message->base.descriptor == &wire__item__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__item__pack
+                     (const Wire__Item *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__item__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__item__pack_to_buffer
+                     (const Wire__Item *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__item__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Item *
+       wire__item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Item *)
+     protobuf_c_message_unpack (&wire__item__descriptor,
+                                allocator, len, data);
+}
+void   wire__item__free_unpacked
+                     (Wire__Item *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__item__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__items__init
+                     (Wire__Items         *message)
+{
+  static const Wire__Items init_value = WIRE__ITEMS__INIT;
+  *message = init_value;
+}
+size_t wire__items__get_packed_size
+                     (const Wire__Items *message)
+{
+  assert(message->base.descriptor == &wire__items__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__items__pack
+                     (const Wire__Items *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__items__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__items__pack_to_buffer
+                     (const Wire__Items *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__items__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Items *
+       wire__items__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Items *)
+     protobuf_c_message_unpack (&wire__items__descriptor,
+                                allocator, len, data);
+}
+void   wire__items__free_unpacked
+                     (Wire__Items *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__items__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__member__init
+                     (Wire__Member         *message)
+{
+  static const Wire__Member init_value = WIRE__MEMBER__INIT;
+  *message = init_value;
+}
+size_t wire__member__get_packed_size
+                     (const Wire__Member *message)
+{
+  assert(message->base.descriptor == &wire__member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__member__pack
+                     (const Wire__Member *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__member__pack_to_buffer
+                     (const Wire__Member *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Member *
+       wire__member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Member *)
+     protobuf_c_message_unpack (&wire__member__descriptor,
+                                allocator, len, data);
+}
+void   wire__member__free_unpacked
+                     (Wire__Member *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__members__init
+                     (Wire__Members         *message)
+{
+  static const Wire__Members init_value = WIRE__MEMBERS__INIT;
+  *message = init_value;
+}
+size_t wire__members__get_packed_size
+                     (const Wire__Members *message)
+{
+  assert(message->base.descriptor == &wire__members__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__members__pack
+                     (const Wire__Members *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__members__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__members__pack_to_buffer
+                     (const Wire__Members *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__members__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Members *
+       wire__members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Members *)
+     protobuf_c_message_unpack (&wire__members__descriptor,
+                                allocator, len, data);
+}
+void   wire__members__free_unpacked
+                     (Wire__Members *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__members__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__ask__init
+                     (Wire__Ask         *message)
+{
+  static const Wire__Ask init_value = WIRE__ASK__INIT;
+  *message = init_value;
+}
+size_t wire__ask__get_packed_size
+                     (const Wire__Ask *message)
+{
+  assert(message->base.descriptor == &wire__ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__ask__pack
+                     (const Wire__Ask *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__ask__pack_to_buffer
+                     (const Wire__Ask *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Ask *
+       wire__ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Ask *)
+     protobuf_c_message_unpack (&wire__ask__descriptor,
+                                allocator, len, data);
+}
+void   wire__ask__free_unpacked
+                     (Wire__Ask *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor wire__msg__field_descriptors[22] =
 {
   {
@@ -485,3 +710,388 @@
   (ProtobufCMessageInit) wire__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__item__field_descriptors[4] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Item, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Item, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Item, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deleted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Item, deleted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__item__field_indices_by_name[] = {
+  3,   /* field[3] = deleted */
+  0,   /* field[0] = key */
+  2,   /* field[2] = revision */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange wire__item__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wire__item__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Item",
+  "Item",
+  "Wire__Item",
+  "wire",
+  sizeof(Wire__Item),
+  4,
+  wire__item__field_descriptors,
+  wire__item__field_indices_by_name,
+  1,  wire__item__number_ranges,
+  (ProtobufCMessageInit) wire__item__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__items__field_descriptors[1] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Items, n_items),
+    offsetof(Wire__Items, items),
+    &wire__item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__items__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+};
+static const ProtobufCIntRange wire__items__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__items__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Items",
+  "Items",
+  "Wire__Items",
+  "wire",
+  sizeof(Wire__Items),
+  1,
+  wire__items__field_descriptors,
+  wire__items__field_indices_by_name,
+  1,  wire__items__number_ranges,
+  (ProtobufCMessageInit) wire__items__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__member__field_descriptors[8] =
+{
+  {
+    "ip",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Member, ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Member, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "beat",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Member, beat),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Member, domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "core",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Member, core),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Member, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Member, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Member, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__member__field_indices_by_name[] = {
+  2,   /* field[2] = beat */
+  4,   /* field[4] = core */
+  3,   /* field[3] = domain */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = ip */
+  6,   /* field[6] = revision */
+  5,   /* field[5] = state */
+  7,   /* field[7] = version */
+};
+static const ProtobufCIntRange wire__member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor wire__member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Member",
+  "Member",
+  "Wire__Member",
+  "wire",
+  sizeof(Wire__Member),
+  8,
+  wire__member__field_descriptors,
+  wire__member__field_indices_by_name,
+  1,  wire__member__number_ranges,
+  (ProtobufCMessageInit) wire__member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__members__field_descriptors[1] =
+{
+  {
+    "members",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Members, n_members),
+    offsetof(Wire__Members, members),
+    &wire__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__members__field_indices_by_name[] = {
+  0,   /* field[0] = members */
+};
+static const ProtobufCIntRange wire__members__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__members__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Members",
+  "Members",
+  "Wire__Members",
+  "wire",
+  sizeof(Wire__Members),
+  1,
+  wire__members__field_descriptors,
+  wire__members__field_indices_by_name,
+  1,  wire__members__number_ranges,
+  (ProtobufCMessageInit) wire__members__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__ask__field_descriptors[6] =
+{
+  {
+    "method",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Ask, method),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "uri",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Ask, uri),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Ask, host),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_id",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Ask, request_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "headers",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Ask, headers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Ask, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__ask__field_indices_by_name[] = {
+  5,   /* field[5] = body */
+  4,   /* field[4] = headers */
+  2,   /* field[2] = host */
+  0,   /* field[0] = method */
+  3,   /* field[3] = request_id */
+  1,   /* field[1] = uri */
+};
+static const ProtobufCIntRange wire__ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor wire__ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Ask",
+  "Ask",
+  "Wire__Ask",
+  "wire",
+  sizeof(Wire__Ask),
+  6,
+  wire__ask__field_descriptors,
+  wire__ask__field_indices_by_name,
+  1,  wire__ask__number_ranges,
+  (ProtobufCMessageInit) wire__ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/wire.pb-c.h
+++ b/wire.pb-c.h
@@ -17,6 +17,11 @@
 
 typedef struct Wire__Msg Wire__Msg;
 typedef struct Wire__Frame Wire__Frame;
+typedef struct Wire__Item Wire__Item;
+typedef struct Wire__Items Wire__Items;
+typedef struct Wire__Member Wire__Member;
+typedef struct Wire__Members Wire__Members;
+typedef struct Wire__Ask Wire__Ask;
 
 
 /* --- enums --- */
@@ -100,6 +105,103 @@
     , {0,NULL}, 0, 0, 0,NULL }
 
 
+/*
+ * One published key, as it is passed from node to node.
+ */
+struct  Wire__Item
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData key;
+  ProtobufCBinaryData value;
+  uint64_t revision;
+  protobuf_c_boolean deleted;
+};
+#define WIRE__ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__item__descriptor) \
+    , {0,NULL}, {0,NULL}, 0, 0 }
+
+
+struct  Wire__Items
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Wire__Item **items;
+};
+#define WIRE__ITEMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__items__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * What a node knows of a node.
+ */
+struct  Wire__Member
+{
+  ProtobufCMessage base;
+  /*
+   * host byte order
+   */
+  uint32_t ip;
+  uint64_t incarnation;
+  /*
+   * counts up in one life of a process
+   */
+  uint32_t beat;
+  /*
+   * hash of the failure domain
+   */
+  uint64_t domain;
+  /*
+   * thousandths of a processor core
+   */
+  uint32_t core;
+  /*
+   * bits, enum member_bits
+   */
+  uint32_t state;
+  /*
+   * of the store
+   */
+  uint64_t revision;
+  /*
+   * of the configuration
+   */
+  uint64_t version;
+};
+#define WIRE__MEMBER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__member__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Wire__Members
+{
+  ProtobufCMessage base;
+  size_t n_members;
+  Wire__Member **members;
+};
+#define WIRE__MEMBERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__members__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * A caller's request, for another node to merge.
+ */
+struct  Wire__Ask
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData method;
+  ProtobufCBinaryData uri;
+  ProtobufCBinaryData host;
+  ProtobufCBinaryData request_id;
+  ProtobufCBinaryData headers;
+  ProtobufCBinaryData body;
+};
+#define WIRE__ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__ask__descriptor) \
+    , {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL} }
+
+
 /* Wire__Msg methods */
 void   wire__msg__init
                      (Wire__Msg         *message);
@@ -138,6 +240,101 @@
 void   wire__frame__free_unpacked
                      (Wire__Frame *message,
                       ProtobufCAllocator *allocator);
+/* Wire__Item methods */
+void   wire__item__init
+                     (Wire__Item         *message);
+size_t wire__item__get_packed_size
+                     (const Wire__Item   *message);
+size_t wire__item__pack
+                     (const Wire__Item   *message,
+                      uint8_t             *out);
+size_t wire__item__pack_to_buffer
+                     (const Wire__Item   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Item *
+       wire__item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__item__free_unpacked
+                     (Wire__Item *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__Items methods */
+void   wire__items__init
+                     (Wire__Items         *message);
+size_t wire__items__get_packed_size
+                     (const Wire__Items   *message);
+size_t wire__items__pack
+                     (const Wire__Items   *message,
+                      uint8_t             *out);
+size_t wire__items__pack_to_buffer
+                     (const Wire__Items   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Items *
+       wire__items__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__items__free_unpacked
+                     (Wire__Items *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__Member methods */
+void   wire__member__init
+                     (Wire__Member         *message);
+size_t wire__member__get_packed_size
+                     (const Wire__Member   *message);
+size_t wire__member__pack
+                     (const Wire__Member   *message,
+                      uint8_t             *out);
+size_t wire__member__pack_to_buffer
+                     (const Wire__Member   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Member *
+       wire__member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__member__free_unpacked
+                     (Wire__Member *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__Members methods */
+void   wire__members__init
+                     (Wire__Members         *message);
+size_t wire__members__get_packed_size
+                     (const Wire__Members   *message);
+size_t wire__members__pack
+                     (const Wire__Members   *message,
+                      uint8_t             *out);
+size_t wire__members__pack_to_buffer
+                     (const Wire__Members   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Members *
+       wire__members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__members__free_unpacked
+                     (Wire__Members *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__Ask methods */
+void   wire__ask__init
+                     (Wire__Ask         *message);
+size_t wire__ask__get_packed_size
+                     (const Wire__Ask   *message);
+size_t wire__ask__pack
+                     (const Wire__Ask   *message,
+                      uint8_t             *out);
+size_t wire__ask__pack_to_buffer
+                     (const Wire__Ask   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Ask *
+       wire__ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__ask__free_unpacked
+                     (Wire__Ask *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wire__Msg_Closure)
@@ -146,6 +343,21 @@
 typedef void (*Wire__Frame_Closure)
                  (const Wire__Frame *message,
                   void *closure_data);
+typedef void (*Wire__Item_Closure)
+                 (const Wire__Item *message,
+                  void *closure_data);
+typedef void (*Wire__Items_Closure)
+                 (const Wire__Items *message,
+                  void *closure_data);
+typedef void (*Wire__Member_Closure)
+                 (const Wire__Member *message,
+                  void *closure_data);
+typedef void (*Wire__Members_Closure)
+                 (const Wire__Members *message,
+                  void *closure_data);
+typedef void (*Wire__Ask_Closure)
+                 (const Wire__Ask *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -154,6 +366,11 @@
 
 extern const ProtobufCMessageDescriptor wire__msg__descriptor;
 extern const ProtobufCMessageDescriptor wire__frame__descriptor;
+extern const ProtobufCMessageDescriptor wire__item__descriptor;
+extern const ProtobufCMessageDescriptor wire__items__descriptor;
+extern const ProtobufCMessageDescriptor wire__member__descriptor;
+extern const ProtobufCMessageDescriptor wire__members__descriptor;
+extern const ProtobufCMessageDescriptor wire__ask__descriptor;
 
 PROTOBUF_C__END_DECLS
 
