A merging node tells early that it is at work

Cause: a batch with one late shard was answered at the soft deadline only, after the asking node had taken it for lost and asked three targets of a shard. Ruled out: a node that is really slow (its processor time was free). Also an ended call walked its batches on and crashed.

--- a/batch.c
+++ b/batch.c
@@ -130,14 +130,20 @@
 	calls->batches->failed(calls, call, batch->parts, batch->nparts, ran);
 }
 
+static struct batch *find_silent(const struct call *call)
+{
+	for (struct batch *batch = call->batches; batch; batch = batch->next)
+		if (!batch->replied)
+			return batch;
+	return NULL;
+}
+
 void batch_overdue(struct calls *calls, struct call *call)
 {
-	struct batch *next;
+	struct batch *batch;
 
-	for (struct batch *batch = call->batches; batch; batch = next) {
-		next = batch->next;
-		if (batch->replied)
-			continue;
+	/* Failing one may end the call, and with it all the others. */
+	while ((batch = find_silent(call))) {
 		rest(calls, batch->addr);
 		batch_fail(calls, batch, true);
 	}
@@ -203,7 +209,7 @@
 		if (nparts)
 			calls->batches->replied(calls, call, parts, nparts,
 						msg);
-		if (batch->nparts && call_find(calls, call->id))
+		if (batch->nparts && !call->over)
 			calls->batches->failed(calls, call, batch->parts,
 					       batch->nparts, msg->ran);
 		return;
--- a/call.c
+++ b/call.c
@@ -308,6 +308,7 @@
 	}
 	if (call->kind->ended)
 		call->kind->ended(calls, call);
+	call->over = true;
 	apr_hash_set(calls->open, &call->id, sizeof(call->id), NULL);
 	calls->nopen--;
 	call->next_dead = calls->dead;
--- a/call.h
+++ b/call.h
@@ -86,6 +86,7 @@
  * @review_at: next review; 0 when none is planned
  * @wanted, @nwanted: shards that @asker wants; all of them for a caller
  * @batches: shards that other nodes were asked for
+ * @over: it has ended; freed once all effects are carried out
  * @state: of its kind
  */
 struct call {
@@ -109,6 +110,7 @@
 	uint16_t *wanted;
 	size_t nwanted;
 	struct batch *batches;
+	bool over;
 	void *state;
 	struct call *next_dead;
 };
--- a/merge.c
+++ b/merge.c
@@ -31,16 +31,20 @@
  * is taken to be stuck, while targets can still be asked in time from here.
  */
 static const double BATCH_GOAL_PART = 0.5;
+/* By then it tells what it has, so that it is not taken to be stuck. */
+static const double TELL_GOAL_PART = 0.35;
 
 /**
  * struct merge_state - what is there of the answer
  * @fresh, @nfresh: shards in @records that the asking node was not told of
+ * @told: it was told something
  */
 struct merge_state {
 	struct records records;
 	struct buf signatures;
 	uint16_t *fresh;
 	size_t nfresh;
+	bool told;
 };
 
 static apr_status_t free_state(void *data)
@@ -67,6 +71,12 @@
 	       (soft < goal - RETURN_US ? soft : goal - RETURN_US);
 }
 
+static int64_t merge_tell_at(const struct call *call)
+{
+	return call->start +
+	       (int64_t)((double)call->route->goal_us * TELL_GOAL_PART);
+}
+
 static int64_t merge_batch_at(const struct call *call)
 {
 	return call->start +
@@ -175,14 +185,16 @@
 	batch_tell(calls, call, state->fresh, state->nfresh,
 		   records_str(&state->records), buf_str(&state->signatures),
 		   last);
+	state->told = true;
 	state->nfresh = 0;
 	state->records.count = 0;
 	state->signatures.len = 0;
 }
 
 /*
- * For another node, which knows what is enough: it is told all that is there
- * at the soft deadline, and each shard that comes later as it comes.
+ * For another node, which knows what is enough: it is told once early, so that
+ * it knows that this one is at work; again at the soft deadline, and then each
+ * shard as it comes.
  */
 static bool settle_batch(struct calls *calls, struct call *call)
 {
@@ -191,7 +203,8 @@
 	bool last = count_possible(call, !late) == call->ndone ||
 		    calls->now >= call->give_up_at;
 
-	if (last || (late && state->nfresh))
+	if (last || (late && state->nfresh) ||
+	    (!state->told && calls->now >= merge_tell_at(call)))
 		tell_asker(calls, call, last);
 	if (last)
 		call_finish(calls, call);
@@ -251,6 +264,8 @@
 		return;
 	if (calls->now >= merge_batch_at(call))
 		batch_overdue(calls, call);
+	if (call->over)
+		return;
 	hedge(calls, call);
 	plan_review(calls, call);
 }
@@ -471,8 +486,13 @@
 			 const uint16_t *parts, size_t nparts, bool ran)
 {
 	for (size_t i = 0; i < nparts; i++) {
-		call->parts[parts[i]].batched = false;
-		call->parts[parts[i]].again = ran;
+		struct part *part = &call->parts[parts[i]];
+
+		part->batched = false;
+		part->again = ran;
+		/* One of the targets that it may be sent to has had it. */
+		if (ran)
+			part->tried[part->ntried++] = 0;
 		call_send(calls, call, parts[i]);
 	}
 	if (!settle(calls, call))
