What a merging node gave up is not sent again by the asking one

Cause: the last word of a merging node left late shards out, and the asking node sent these to a third target. A stopping node took requests in its last 0.3 s and dropped them. Ruled out: lost connections as the cause of the third target.

--- a/batch.c
+++ b/batch.c
@@ -122,12 +122,17 @@
 	tell(calls, addr, 0, MSG_RELINK);
 }
 
-static void batch_fail(struct calls *calls, struct batch *batch, bool ran)
+/*
+ * What a node has not answered for when it is lost, it may have sent once; if
+ * it had answered for others, it was waiting for late ones and sent them twice.
+ */
+static void batch_fail(struct calls *calls, struct batch *batch)
 {
 	struct call *call = batch->call;
 
 	batch_cancel(calls, batch);
-	calls->batches->failed(calls, call, batch->parts, batch->nparts, ran);
+	calls->batches->failed(calls, call, batch->parts, batch->nparts,
+			       batch->replied ? 2 : 1);
 }
 
 static struct batch *find_silent(const struct call *call)
@@ -145,7 +150,7 @@
 	/* Failing one may end the call, and with it all the others. */
 	while ((batch = find_silent(call))) {
 		rest(calls, batch->addr);
-		batch_fail(calls, batch, true);
+		batch_fail(calls, batch);
 	}
 }
 
@@ -198,7 +203,7 @@
 		note_belief(calls->notes, calls->now, "unusable", from,
 			    "it answers for shards that it was not asked for",
 			    msg->version);
-		batch_fail(calls, batch, true);
+		batch_fail(calls, batch);
 		return;
 	}
 	batch->replied = true;
@@ -211,7 +216,8 @@
 						msg);
 		if (batch->nparts && !call->over)
 			calls->batches->failed(calls, call, batch->parts,
-					       batch->nparts, msg->ran);
+					       batch->nparts,
+					       msg->ran ? CALL_TRIES_MAX : 0);
 		return;
 	}
 	if (nparts)
@@ -244,7 +250,7 @@
 	if (member)
 		member->rest_until = calls->now + REST_US;
 	for (; batch; batch = find_at(calls, addr))
-		batch_fail(calls, batch, true);
+		batch_fail(calls, batch);
 }
 
 /* Asked. */
--- a/batch.h
+++ b/batch.h
@@ -35,8 +35,8 @@
  * struct batch_book - batches of this node
  * @open: id -> struct batch
  * @replied: some shards came back; @msg: records and signatures of @parts
- * @failed: the node will not answer for what is left in @batch; @ran: some of
- *          it may have reached targets
+ * @failed: the node will not answer for @parts; @tried: how many targets each
+ *          of them may have been sent to already
  */
 struct batch_book {
 	struct gossip *gossip;
@@ -46,7 +46,7 @@
 			const uint16_t *parts, size_t nparts,
 			const struct msg *msg);
 	void (*failed)(struct calls *calls, struct call *call,
-		       const uint16_t *parts, size_t nparts, bool ran);
+		       const uint16_t *parts, size_t nparts, size_t tried);
 };
 
 void batch_book_init(struct batch_book *book, apr_pool_t *pool,
--- a/edge.c
+++ b/edge.c
@@ -28,7 +28,7 @@
 	/* Settings may change without a signal: their file is looked at. */
 	SETTINGS_LOOK_US = 1000000,
 	/* What is answered last may still be on its way to the sockets. */
-	FLUSH_US = 300000,
+	FLUSH_US = 1500000,
 };
 
 /* Ids of calls to the store have this bit, those of attempts never do. */
@@ -495,8 +495,11 @@
 {
 	int64_t until = loop_now() + FLUSH_US;
 
-	http_quiesce(edge->callers);
-	while (loop_now() < until)
+	/*
+	 * Requests that came meanwhile are served like any other: the process
+	 * ends at a moment when it holds none.
+	 */
+	while (http_open(edge->callers) && loop_now() < until)
 		loop_step(edge->loop);
 }
 
--- a/merge.c
+++ b/merge.c
@@ -483,15 +483,15 @@
 }
 
 static void batch_failed(struct calls *calls, struct call *call,
-			 const uint16_t *parts, size_t nparts, bool ran)
+			 const uint16_t *parts, size_t nparts, size_t tried)
 {
 	for (size_t i = 0; i < nparts; i++) {
 		struct part *part = &call->parts[parts[i]];
 
 		part->batched = false;
-		part->again = ran;
-		/* One of the targets that it may be sent to has had it. */
-		if (ran)
+		part->again = tried > 0;
+		/* Their names are not known here, only that they count. */
+		while (part->ntried < tried)
 			part->tried[part->ntried++] = 0;
 		call_send(calls, call, parts[i]);
 	}
