--- a/batch.c
+++ b/batch.c
@@ -11,6 +11,9 @@
 	HOP_US = 3000,
 	/* A node that did not answer gets no shards for this long. */
 	REST_US = 500000,
+	/* Without any word this long after a question its connection is dead.
+	 */
+	SILENT_US = 150000,
 };
 
 /* Ids of calls that other nodes asked for; those of callers are smaller. */
@@ -65,6 +68,8 @@
 		     batch);
 	if (!member->open++)
 		member->asked_at = calls->now;
+	if (!member->unheard_since)
+		member->unheard_since = calls->now;
 	parcel_request(&call->request, &body);
 	fx->msg.id = batch->id;
 	fx->msg.version = call->catalog->version;
@@ -104,8 +109,9 @@
 }
 
 /*
- * Connections may go silent for good, in either direction: both are opened
- * anew, which costs little if the node was merely slow.
+ * Connections may go silent for good, in either direction, without a reset. If
+ * nothing at all has come from a node since it was first asked, both are opened
+ * anew; a node that is merely slow keeps them, with what is under way there.
  */
 static void rest(struct calls *calls, struct str addr)
 {
@@ -115,6 +121,9 @@
 	if (!member || calls->now < member->rest_until)
 		return;
 	member->rest_until = calls->now + REST_US;
+	if (!member->unheard_since ||
+	    calls->now - member->unheard_since < SILENT_US)
+		return;
 	note_belief(calls->notes, calls->now, "node is late", addr,
 		    "it has not answered for its shards", 0);
 	fx = flow_add(calls->fx, FLOW_RESET_PEER);
@@ -135,10 +144,25 @@
 			       batch->replied ? 2 : 1);
 }
 
-static struct batch *find_silent(const struct call *call)
+/*
+ * A node that has been heard of meanwhile is slow but at work on the shards:
+ * asking their targets from here as well would ask too many of them.
+ */
+static bool is_silent(struct calls *calls, const struct batch *batch)
+{
+	const struct member_info *member =
+		gossip_find(calls->batches->gossip, batch->addr);
+
+	if (batch->replied)
+		return false;
+	return !member || (member->unheard_since &&
+			   member->unheard_since <= batch->sent_at);
+}
+
+static struct batch *find_silent(struct calls *calls, const struct call *call)
 {
 	for (struct batch *batch = call->batches; batch; batch = batch->next)
-		if (!batch->replied)
+		if (is_silent(calls, batch))
 			return batch;
 	return NULL;
 }
@@ -147,11 +171,12 @@
 {
 	struct batch *batch;
 
+	for (batch = call->batches; batch; batch = batch->next)
+		if (!batch->replied)
+			rest(calls, batch->addr);
 	/* Failing one may end the call, and with it all the others. */
-	while ((batch = find_silent(call))) {
-		rest(calls, batch->addr);
+	while ((batch = find_silent(calls, call)))
 		batch_fail(calls, batch);
-	}
 }
 
 static void drop_parts(struct batch *batch, const uint16_t *parts,
--- a/directory.c
+++ b/directory.c
@@ -10,7 +10,7 @@
 	 * Connections of this node to a target, even where more nodes than
 	 * that would share them: not all nodes use all targets at a time.
 	 */
-	CONNS_LEAST = 3,
+	CONNS_LEAST = 2,
 };
 
 /* Of a target's connections; the rest is for nodes not heard of yet. */
--- a/gossip.c
+++ b/gossip.c
@@ -113,6 +113,14 @@
 	return apr_hash_get(gossip->members, &ip, sizeof(ip));
 }
 
+void gossip_heard(struct gossip *gossip, struct str addr)
+{
+	struct member_info *member = gossip_find(gossip, addr);
+
+	if (member)
+		member->unheard_since = 0;
+}
+
 int gossip_count(const struct gossip *gossip)
 {
 	return gossip->most_live;
--- a/gossip.h
+++ b/gossip.h
@@ -22,6 +22,7 @@
  * @addr: "ip:port" between nodes
  * @heard_at: when its beat last went up here
  * @asked_at: oldest question that it has not answered, 0 for none
+ * @unheard_since: first question since it was last heard, 0 for none
  * @open: questions that it has not answered
  * @rest_until: gets no questions until then
  */
@@ -30,6 +31,7 @@
 	struct str addr;
 	int64_t heard_at;
 	int64_t asked_at;
+	int64_t unheard_since;
 	int open;
 	int64_t rest_until;
 	double reply_us;
@@ -63,6 +65,8 @@
 void gossip_announce(struct gossip *gossip, int64_t now);
 /** gossip_msg() - members that another node knows. */
 void gossip_msg(struct gossip *gossip, struct str body, int64_t now);
+/** gossip_heard() - any message came from the node at @addr. */
+void gossip_heard(struct gossip *gossip, struct str addr);
 /** gossip_count() - nodes that may hold a part of shared bounds. */
 int gossip_count(const struct gossip *gossip);
 bool gossip_is_live(const struct member_info *member, int64_t now);
--- a/reader.c
+++ b/reader.c
@@ -139,6 +139,7 @@
 {
 	if (reply->lost_history) {
 		reader->need_range = true;
+		reader->dir->told = false;
 		reader->state = READER_IDLE;
 		reader->next_at = now;
 		note_belief(reader->dir->notes, now, "store history lost",
--- a/roster.c
+++ b/roster.c
@@ -24,9 +24,16 @@
 	 * smoothed time halves each second, until one tries it again.
 	 */
 	FORGET_HALF_US = 1000000,
-	/* A target that failed rests, doubled with each failure in a row. */
+	/* A target that failed waits, doubled with each failure in a row. */
 	REST_US = 100000,
 	REST_MAX_US = 1600000,
+	/*
+	 * What a request costs that is not served: the time until another
+	 * target has been asked instead, and a part of the retry budget.
+	 */
+	FAULT_WAIT_US = 60000,
+	/* A target that did not serve is tried again as this halves. */
+	FAULT_HALF_US = 1500000,
 	/* One that was full rests for about the time of a request. */
 	REST_FULL_US = 15000,
 	/*
@@ -280,8 +287,8 @@
 	    (target->listed || now - target->left_at > LAPSE_US ||
 	     target->left_at - roster->store_lost_at > LAPSE_US))
 		return USE_LEAVING;
-	if (now < target->rest_until)
-		return USE_RESTING;
+	if (now < target->down_until)
+		return USE_DOWN;
 	if (cold_is_full(group, target, now))
 		return USE_COLD;
 	if (group && group->conns && target->inflight >= group->conns)
@@ -303,6 +310,21 @@
 	return us;
 }
 
+static double fault_share(const struct live_target *target, int64_t now)
+{
+	int64_t age = now - target->faults_at;
+
+	return target->faults * FAULT_HALF_US / (double)(FAULT_HALF_US + age);
+}
+
+static void count_fault(struct live_target *target, bool fault, int64_t now)
+{
+	double known = fault_share(target, now);
+
+	target->faults = known + SMOOTHING * ((fault ? 1.0 : 0.0) - known);
+	target->faults_at = now;
+}
+
 int64_t roster_expect(const struct live_target *target, int64_t now)
 {
 	double us = remembered_us(target, now);
@@ -315,6 +337,9 @@
 		expected += OVERDUE_WAIT_US;
 	if (now < target->cold_until)
 		expected += (int64_t)us;
+	expected += (int64_t)(FAULT_WAIT_US * fault_share(target, now));
+	if (now < target->wary_until)
+		expected += target->wary_until - now;
 	if (!target->near)
 		expected += FAR_WAIT_US;
 	return expected;
@@ -360,9 +385,13 @@
 bool roster_any(const struct roster *roster, uint64_t service, int64_t now)
 {
 	for (struct live_target *target = roster_first(roster, service); target;
-	     target = target->next)
-		if (roster_use(roster, target, now) == USE_OK)
+	     target = target->next) {
+		enum target_use use = roster_use(roster, target, now);
+
+		/* What is busy or has its share of a second is soon free. */
+		if (use == USE_OK || use == USE_BUSY || use == USE_COLD)
 			return true;
+	}
 	return false;
 }
 
@@ -414,13 +443,13 @@
 	target->service_at = now;
 }
 
-static void rest(struct live_target *target, int64_t now)
+static int64_t rest_us(const struct live_target *target)
 {
 	int64_t us = REST_US;
 
 	for (int i = 1; i < target->failures && us < REST_MAX_US; i++)
 		us *= 2;
-	target->rest_until = now + us;
+	return us;
 }
 
 void roster_answered(struct roster *roster, struct live_target *target,
@@ -431,18 +460,24 @@
 	target->asked_at = target->inflight ? now : 0;
 	switch (what) {
 	case REPLY_GOOD:
+		count_fault(target, false, now);
 		target->failures = 0;
 		target->answered_at = now;
 		smooth(target, now - sent_at, now);
 		break;
 	case REPLY_FULL:
+		count_fault(target, true, now);
 		target->answered_at = now;
-		target->rest_until = now + REST_FULL_US;
+		target->wary_until = now + REST_FULL_US;
 		break;
 	case REPLY_FAILED:
+		count_fault(target, true, now);
+		target->failures++;
+		target->wary_until = now + rest_us(target);
+		break;
 	case REPLY_DOWN:
 		target->failures++;
-		rest(target, now);
+		target->down_until = now + rest_us(target);
 		break;
 	case REPLY_OTHER:
 		target->listed = false;
--- a/roster.h
+++ b/roster.h
@@ -16,7 +16,7 @@
 	USE_OK,
 	USE_LEAVING, /* it drains, or its entry is gone */
 	USE_DOMAIN_OUT,
-	USE_RESTING, /* failed just now, or tells that it is full */
+	USE_DOWN, /* took no connection just now */
 	USE_COLD, /* has its share of requests for this second */
 	USE_BUSY, /* has as many requests of this node as its connections bear
 		   */
@@ -30,8 +30,10 @@
  * @listed: its entry is in the store
  * @left_at: when its entry went, or said that it is leaving; 0: it has not
  * @cold_until: it is cold until then
- * @rest_until: gets nothing until then
+ * @down_until: takes no connections, and is not tried until then
+ * @wary_until: failed or was full just now: others go first until then
  * @failures: in a row
+ * @faults: smoothed share of requests that it did not serve, at @faults_at
  * @inflight: requests of this node that it has not answered
  * @asked_at: when the oldest of them was sent; 0 when there is none
  * @answered_at: when it last answered
@@ -51,8 +53,11 @@
 	bool listed;
 	int64_t left_at;
 	int64_t cold_until;
-	int64_t rest_until;
+	int64_t down_until;
+	int64_t wary_until;
 	int failures;
+	double faults;
+	int64_t faults_at;
 	int inflight;
 	int64_t asked_at;
 	int64_t answered_at;
@@ -110,7 +115,7 @@
 int64_t roster_expect(const struct live_target *target, int64_t now);
 enum target_use roster_use(const struct roster *roster,
 			   const struct live_target *target, int64_t now);
-/** roster_any() - some target of @service may be asked now. */
+/** roster_any() - some target of @service may be asked, if not at once. */
 bool roster_any(const struct roster *roster, uint64_t service, int64_t now);
 /** roster_near_first() - the best target now is in this failure domain. */
 bool roster_near_first(struct roster *roster, uint64_t service, int64_t now);
--- a/tier.c
+++ b/tier.c
@@ -217,6 +217,7 @@
 	const struct msg *msg = event->msg;
 	struct flow_effect *fx;
 
+	gossip_heard(&tier->gossip, event->from);
 	switch (msg->kind) {
 	case MSG_GOSSIP:
 		gossip_msg(&tier->gossip, msg->body, event->now);
@@ -275,6 +276,11 @@
 	tier->calls.now = event->now;
 	switch (event->type) {
 	case FLOW_TICK:
+		/*
+		 * Only here, after all that has come in was taken: a process
+		 * that was held up must not judge what it has not read late.
+		 */
+		run_timers(tier);
 		break;
 	case FLOW_REQUEST:
 		on_request(tier, event);
@@ -304,7 +310,6 @@
 		on_stop(tier);
 		break;
 	}
-	run_timers(tier);
 	share_tick(&tier->share, event->now);
 	gossip_tick(&tier->gossip, event->now);
 	count_nodes(tier);
--- a/upstream.c
+++ b/upstream.c
@@ -26,7 +26,7 @@
 	 * peer states its own time, and after IDLE_PART of that time if it
 	 * does, so that no request meets the peer's close.
 	 */
-	IDLE_US = 4000000,
+	IDLE_US = 1500000,
 	IDLE_PART_NUM = 7,
 	IDLE_PART_DEN = 10,
 	SWEEP_US = 250000,
