--- a/batch.c
+++ b/batch.c
@@ -135,10 +135,13 @@
  * What a node has not answered for when it is lost, it may have sent once; if
  * it had answered for others, it was waiting for late ones and sent them twice.
  */
-static void batch_fail(struct calls *calls, struct batch *batch)
+static void batch_fail(struct calls *calls, struct batch *batch,
+		       const char *why)
 {
 	struct call *call = batch->call;
 
+	note_batch(calls->notes, calls->now, call, batch->addr, batch->nparts,
+		   why);
 	batch_cancel(calls, batch);
 	calls->batches->failed(calls, call, batch->parts, batch->nparts,
 			       batch->replied ? 2 : 1);
@@ -176,7 +179,7 @@
 			rest(calls, batch->addr);
 	/* Failing one may end the call, and with it all the others. */
 	while ((batch = find_silent(calls, call)))
-		batch_fail(calls, batch);
+		batch_fail(calls, batch, "no word of it in time");
 }
 
 static void drop_parts(struct batch *batch, const uint16_t *parts,
@@ -228,7 +231,7 @@
 		note_belief(calls->notes, calls->now, "unusable", from,
 			    "it answers for shards that it was not asked for",
 			    msg->version);
-		batch_fail(calls, batch);
+		batch_fail(calls, batch, "its answer is unusable");
 		return;
 	}
 	batch->replied = true;
@@ -275,7 +278,7 @@
 	if (member)
 		member->rest_until = calls->now + REST_US;
 	for (; batch; batch = find_at(calls, addr))
-		batch_fail(calls, batch);
+		batch_fail(calls, batch, "its connection broke");
 }
 
 /* Asked. */
--- a/gossip.c
+++ b/gossip.c
@@ -9,14 +9,21 @@
 enum {
 	PERIOD_US = 1000000,
 	/*
-	 * Told each period: this many of the own failure domain, and of the
-	 * others, whose bytes are paid for. Word of a change has reached 90
-	 * nodes after some five periods, 6 nodes after one.
+	 * Nodes of the own failure domain that are told all, each period: word
+	 * of a change has reached 25 of them after three periods.
 	 */
 	NEAR_FANOUT = 3,
-	FAR_FANOUT = 2,
+	/*
+	 * Bytes between domains are paid for: all nodes of a domain together
+	 * tell this many nodes elsewhere each period, and only of their own
+	 * domain.
+	 */
+	FAR_TOGETHER = 4,
+	FAR_FANOUT = 1,
 	/* A beat that stands still this long: three lost rounds. */
 	DOWN_US = 3500000,
+	/* The same of another domain, of which word comes less often. */
+	FAR_DOWN_US = 8000000,
 	/* Down nodes may be only out of reach: they keep their part of shared
 	 * bounds for as long as such cuts last, mostly. */
 	COUNT_US = 15000000,
@@ -88,10 +95,14 @@
 	}
 }
 
+static bool is_up(const struct member_info *member, int64_t now)
+{
+	return now - member->heard_at < (member->near ? DOWN_US : FAR_DOWN_US);
+}
+
 bool gossip_is_live(const struct member_info *member, int64_t now)
 {
-	return now - member->heard_at < DOWN_US &&
-	       !(member->entry.state & MEMBER_LEAVES);
+	return is_up(member, now) && !(member->entry.state & MEMBER_LEAVES);
 }
 
 bool gossip_is_seed(const struct gossip *gossip)
@@ -133,6 +144,7 @@
 	int counted = 1;
 
 	gossip->live = 1;
+	gossip->near_live = 1;
 	for (it = apr_hash_first(NULL, gossip->members); it;
 	     it = apr_hash_next(it)) {
 		void *value;
@@ -144,6 +156,8 @@
 			counted++;
 		if (gossip_is_live(member, now))
 			gossip->live++;
+		if (gossip_is_live(member, now) && member->near)
+			gossip->near_live++;
 		if (now - member->heard_at > FORGET_US && !member->open) {
 			apr_hash_set(gossip->members, &member->entry.ip,
 				     sizeof(member->entry.ip), NULL);
@@ -155,7 +169,8 @@
 
 /* Sending. */
 
-static void pack_all(struct gossip *gossip, int64_t now, struct buf *out)
+/* @all: of all domains, or of the own one only. */
+static void pack(struct gossip *gossip, bool all, int64_t now, struct buf *out)
 {
 	size_t most = apr_hash_count(gossip->members) + 1;
 	struct member_entry *list = xcalloc(most, sizeof(*list));
@@ -171,7 +186,7 @@
 		apr_hash_this(it, NULL, NULL, &value);
 		member = value;
 		/* What is down must not be heard of again from old news. */
-		if (now - member->heard_at < DOWN_US)
+		if (is_up(member, now) && (all || member->near))
 			list[count++] = member->entry;
 	}
 	parcel_members(list, count, out);
@@ -202,8 +217,7 @@
 
 		apr_hash_this(it, NULL, NULL, &value);
 		member = value;
-		if ((member->entry.domain == gossip->self.domain) != near ||
-		    now - member->heard_at >= COUNT_US)
+		if (member->near != near || now - member->heard_at >= COUNT_US)
 			continue;
 		place = seen++;
 		if (place >= most)
@@ -229,10 +243,18 @@
 	}
 }
 
+/* Each node's part of what its domain tells elsewhere, by a draw. */
+static bool tells_far(struct gossip *gossip)
+{
+	return rng_below(gossip->rng, (uint64_t)gossip->near_live) <
+	       FAR_TOGETHER;
+}
+
 void gossip_tick(struct gossip *gossip, int64_t now)
 {
 	struct member_info *picked[NEAR_FANOUT + FAR_FANOUT];
-	struct buf body = { 0 };
+	struct buf all = { 0 };
+	struct buf own = { 0 };
 	size_t count;
 
 	if (now < gossip->next_at)
@@ -240,13 +262,18 @@
 	gossip->next_at = now + PERIOD_US;
 	gossip->self.beat++;
 	count_live(gossip, now);
-	pack_all(gossip, now, &body);
+	pack(gossip, true, now, &all);
 	count = pick(gossip, true, NEAR_FANOUT, now, picked);
-	count += pick(gossip, false, FAR_FANOUT, now, picked + count);
 	for (size_t i = 0; i < count; i++)
-		tell(gossip, picked[i]->addr, buf_str(&body));
-	tell_seeds(gossip, buf_str(&body), now);
-	buf_free(&body);
+		tell(gossip, picked[i]->addr, buf_str(&all));
+	pack(gossip, false, now, &own);
+	count = tells_far(gossip) ? pick(gossip, false, FAR_FANOUT, now, picked)
+				  : 0;
+	for (size_t i = 0; i < count; i++)
+		tell(gossip, picked[i]->addr, buf_str(&own));
+	tell_seeds(gossip, buf_str(&own), now);
+	buf_free(&all);
+	buf_free(&own);
 }
 
 void gossip_announce(struct gossip *gossip, int64_t now)
@@ -284,10 +311,9 @@
 		member->addr = addr_text(gossip->pool, entry->ip, gossip->port);
 		member->entry = *entry;
 		member->heard_at = now;
+		member->near = entry->domain == gossip->self.domain;
 		apr_hash_set(gossip->members, &member->entry.ip,
 			     sizeof(member->entry.ip), member);
-		/* A newcomer is told at the next round, which is now. */
-		gossip->next_at = now;
 		count_live(gossip, now);
 		return;
 	}
@@ -303,11 +329,24 @@
 		return;
 	}
 	member->entry = *entry;
+	member->near = entry->domain == gossip->self.domain;
 	member->heard_at = now;
 }
 
-void gossip_msg(struct gossip *gossip, struct str body, int64_t now)
+/* A newcomer is told at once of all that are known. */
+static void greet(struct gossip *gossip, struct str from, int64_t now)
+{
+	struct buf body = { 0 };
+
+	pack(gossip, true, now, &body);
+	tell(gossip, from, buf_str(&body));
+	buf_free(&body);
+}
+
+void gossip_msg(struct gossip *gossip, struct str from, struct str body,
+		int64_t now)
 {
+	bool known = gossip_find(gossip, from) != NULL;
 	struct member_entry *members;
 	apr_pool_t *pool;
 	size_t count;
@@ -317,6 +356,8 @@
 		for (size_t i = 0; i < count; i++)
 			learn(gossip, &members[i], now);
 	apr_pool_destroy(pool);
+	if (!known)
+		greet(gossip, from, now);
 }
 
 bool gossip_reads(const struct gossip *gossip, int64_t now)
--- a/gossip.h
+++ b/gossip.h
@@ -20,6 +20,7 @@
 /**
  * struct member_info - a node as it is known here
  * @addr: "ip:port" between nodes
+ * @near: in this node's failure domain
  * @heard_at: when its beat last went up here
  * @asked_at: oldest question that it has not answered, 0 for none
  * @unheard_since: first question since it was last heard, 0 for none
@@ -29,6 +30,7 @@
 struct member_info {
 	struct member_entry entry;
 	struct str addr;
+	bool near;
 	int64_t heard_at;
 	int64_t asked_at;
 	int64_t unheard_since;
@@ -48,6 +50,7 @@
 	size_t nseeds;
 	int64_t next_at;
 	int live;
+	int near_live;
 	int most_live;
 	int64_t most_live_at;
 };
@@ -64,7 +67,8 @@
 /** gossip_announce() - tell all live nodes at once that the state changed. */
 void gossip_announce(struct gossip *gossip, int64_t now);
 /** gossip_msg() - members that another node knows. */
-void gossip_msg(struct gossip *gossip, struct str body, int64_t now);
+void gossip_msg(struct gossip *gossip, struct str from, struct str body,
+		int64_t now);
 /** gossip_heard() - any message came from the node at @addr. */
 void gossip_heard(struct gossip *gossip, struct str addr);
 /** gossip_count() - nodes that may hold a part of shared bounds. */
--- a/merge.c
+++ b/merge.c
@@ -243,19 +243,33 @@
 	call_review_at(calls, call, when);
 }
 
+/*
+ * A node that has heard nothing asks the targets itself. A second target is
+ * asked from here only once it has been told, so that both together do not ask
+ * more of them than the route allows.
+ */
+static void send_again(struct calls *calls, struct call *call, size_t part)
+{
+	const struct merge_state *state = call->state;
+
+	if (call->asker.len && !state->told && call->parts[part].ntried)
+		tell_asker(calls, call, false);
+	call_send(calls, call, part);
+}
+
 static void hedge(struct calls *calls, struct call *call)
 {
 	for (size_t i = 0; i < call->nparts; i++) {
 		struct part *part = &call->parts[i];
 
 		if (!part->done && !part->open && !part->batched)
-			call_send(calls, call, i);
+			send_again(calls, call, i);
 	}
 	/* call_send() puts new attempts in front of those that are walked. */
 	for (struct attempt *at = call->attempts; at; at = at->next)
 		if (call->parts[at->part].open == 1 &&
 		    calls->now - at->sent_at >= hedge_after(call, at))
-			call_send(calls, call, at->part);
+			send_again(calls, call, at->part);
 }
 
 static void review(struct calls *calls, struct call *call)
@@ -466,7 +480,7 @@
 		take_part(call, attempt->part);
 		take(call, reply->body, reply->signature);
 	} else if (!call->parts[attempt->part].open) {
-		call_send(calls, call, attempt->part);
+		send_again(calls, call, attempt->part);
 	}
 	if (!settle(calls, call) && !is_part(reply))
 		plan_review(calls, call);
--- a/note.c
+++ b/note.c
@@ -142,6 +142,21 @@
 	put(notes, &line);
 }
 
+void note_batch(struct note_book *notes, int64_t now, const struct call *call,
+		struct str addr, size_t shards, const char *why)
+{
+	struct buf line = { 0 };
+
+	if (!admit(notes, now, NOTE_TRIED))
+		return;
+	begin(notes, &line, now, NOTE_TRIED);
+	add_call(&line, now, call);
+	buf_printf(&line, ",\"node\":");
+	buf_json_add(&line, addr);
+	buf_printf(&line, ",\"shards_back\":%zu,\"why\":\"%s\"}", shards, why);
+	put(notes, &line);
+}
+
 void note_belief(struct note_book *notes, int64_t now, const char *what,
 		 struct str who, const char *why, uint64_t version)
 {
--- a/note.h
+++ b/note.h
@@ -44,6 +44,9 @@
 /** note_tried() - a target did not serve; @left_us: time that is left. */
 void note_tried(struct note_book *notes, int64_t now, const struct call *call,
 		const struct attempt *attempt, const struct flow_reply *reply);
+/** note_batch() - shards handed to the node at @addr are asked for here. */
+void note_batch(struct note_book *notes, int64_t now, const struct call *call,
+		struct str addr, size_t shards, const char *why);
 /** note_belief() - @what changed for @who, and on what grounds. */
 void note_belief(struct note_book *notes, int64_t now, const char *what,
 		 struct str who, const char *why, uint64_t version);
--- a/tier.c
+++ b/tier.c
@@ -220,7 +220,7 @@
 	gossip_heard(&tier->gossip, event->from);
 	switch (msg->kind) {
 	case MSG_GOSSIP:
-		gossip_msg(&tier->gossip, msg->body, event->now);
+		gossip_msg(&tier->gossip, event->from, msg->body, event->now);
 		break;
 	case MSG_RELINK:
 		fx = flow_add(tier->fx, FLOW_RESET_PEER);
