--- a/reader.c
+++ b/reader.c
@@ -9,6 +9,11 @@
 	WATCH_US = 1200000,
 	WATCH_SLACK_US = 400000,
 	RANGE_US = 600000,
+	/*
+	 * A call returns with the first change. When many targets come or go,
+	 * this pause lets a call bring several, at four calls a second at most.
+	 */
+	WATCH_GAP_US = 250000,
 	/* After a failure, doubled with each in a row up to the most. */
 	PAUSE_US = 100000,
 	PAUSE_MOST_US = 400000,
@@ -70,6 +75,13 @@
 	/* Others have told all that a read of all keys would. */
 	if (reader->dir->revision)
 		reader->need_range = reader->need_range && !reader->dir->told;
+	if (active != reader->active)
+		note_belief(reader->dir->notes, now,
+			    active ? "reads the store" : "is told by a reader",
+			    STR("store"),
+			    active ? "it is this node's part, or no word came"
+				   : "another node reads for this domain",
+			    reader->dir->revision);
 	reader->active = active;
 }
 
@@ -165,7 +177,7 @@
 		reader->dir->revision = reply->reply->revision;
 	reader->dir->notes->revision = reader->dir->revision;
 	reader->state = READER_IDLE;
-	reader->next_at = now;
+	reader->next_at = now + (reply->reply->count ? WATCH_GAP_US : 0);
 }
 
 int64_t reader_wake_at(const struct reader *reader)
--- a/share.c
+++ b/share.c
@@ -6,8 +6,12 @@
 	 * from the store each 1.2 s at least; a drain must be known in 3 s.
 	 */
 	STALE_US = 1900000,
-	/* At the start others, which have begun sooner, may tell it all. */
-	START_WAIT_US = 500000,
+	/*
+	 * At the start seeds read at once; after the first time the one whose
+	 * part it is does, after the second whoever still knows nothing.
+	 */
+	START_WAIT_US = 400000,
+	START_LONG_WAIT_US = 1200000,
 	/* More is asked for at most this often. */
 	ASK_US = 200000,
 	/* The store was lost so long ago that it does not matter any more. */
@@ -27,9 +31,13 @@
 
 static bool should_read(const struct share *share, int64_t now)
 {
+	int64_t age = now - share->started_at;
+
 	if (!share->dir->revision)
 		return gossip_is_seed(share->gossip) ||
-		       now - share->started_at >= START_WAIT_US;
+		       age >= START_LONG_WAIT_US ||
+		       (age >= START_WAIT_US &&
+			gossip_reads(share->gossip, now));
 	return gossip_reads(share->gossip, now) ||
 	       now - share->dir->read_at >= STALE_US;
 }
@@ -77,11 +85,17 @@
 		if (member->entry.revision <= share->dir->revision ||
 		    !gossip_is_live(member, now))
 			continue;
-		if (!best || member->entry.revision > best->entry.revision)
+		if (!best || member->near > best->near ||
+		    (member->near == best->near &&
+		     member->entry.revision > best->entry.revision))
 			best = member;
 	}
 	if (!best)
 		return;
+	/* All keys from another domain are dear: the reader's turn comes. */
+	if (!share->dir->revision && !best->near &&
+	    now - share->started_at < START_LONG_WAIT_US)
+		return;
 	share->asked_at = now;
 	tell(share, best->addr, MSG_ITEMS_GET, 0, (struct str){ 0 }, now);
 }
@@ -171,9 +185,12 @@
 	     now);
 }
 
-int64_t share_wake_at(const struct share *share)
+int64_t share_wake_at(const struct share *share, int64_t now)
 {
+	int64_t start = share->started_at;
+
 	if (!share->dir->revision)
-		return share->started_at + START_WAIT_US;
+		return now < start + START_WAIT_US ? start + START_WAIT_US
+						   : start + START_LONG_WAIT_US;
 	return share->dir->read_at + STALE_US;
 }
--- a/share.h
+++ b/share.h
@@ -42,4 +42,4 @@
 void share_wanted(struct share *share, struct str from, const struct msg *msg,
 		  int64_t now);
 /** share_wake_at() - when share_tick() is due at the latest. */
-int64_t share_wake_at(const struct share *share);
+int64_t share_wake_at(const struct share *share, int64_t now);
--- a/tier.c
+++ b/tier.c
@@ -164,7 +164,9 @@
 		tier->gossip.self.state |= MEMBER_SERVES;
 	else
 		tier->gossip.self.state |= MEMBER_LEAVES;
-	gossip_announce(&tier->gossip, tier->calls.now);
+	/* Others must not hand shards to a node that is about to end. */
+	if (!ready)
+		gossip_announce(&tier->gossip, tier->calls.now);
 	note_belief(&tier->notes, tier->calls.now, "ready",
 		    ready ? STR("yes") : STR("no"),
 		    ready ? "a configuration is in force" : "planned stop",
@@ -329,7 +331,7 @@
 	int64_t when = timer_next(&tier->calls.timers);
 	int64_t read_at = reader_wake_at(&tier->reader);
 
-	int64_t share_at = share_wake_at(&tier->share);
+	int64_t share_at = share_wake_at(&tier->share, tier->calls.now);
 
 	if (read_at < when)
 		when = read_at;
