--- a/batch.c
+++ b/batch.c
@@ -66,8 +66,7 @@
 	call->batches = batch;
 	apr_hash_set(calls->batches->open, &batch->id, sizeof(batch->id),
 		     batch);
-	if (!member->open++)
-		member->asked_at = calls->now;
+	member->open++;
 	if (!member->unheard_since)
 		member->unheard_since = calls->now;
 	parcel_request(&call->request, &body);
@@ -90,10 +89,8 @@
 		at = &(*at)->next;
 	*at = batch->next;
 	apr_hash_set(calls->batches->open, &batch->id, sizeof(batch->id), NULL);
-	if (!member || !member->open)
-		return;
-	member->open--;
-	member->asked_at = member->open ? calls->now : 0;
+	if (member && member->open)
+		member->open--;
 }
 
 static void batch_cancel(struct calls *calls, struct batch *batch)
--- a/gossip.h
+++ b/gossip.h
@@ -22,7 +22,6 @@
  * @addr: "ip:port" between nodes
  * @near: in this node's failure domain
  * @heard_at: when its beat last went up here
- * @asked_at: oldest question that it has not answered, 0 for none
  * @unheard_since: first question since it was last heard, 0 for none
  * @open: questions that it has not answered
  * @rest_until: gets no questions until then
@@ -32,11 +31,9 @@
 	struct str addr;
 	bool near;
 	int64_t heard_at;
-	int64_t asked_at;
 	int64_t unheard_since;
 	int open;
 	int64_t rest_until;
-	double reply_us;
 };
 
 struct gossip {
--- a/spread.c
+++ b/spread.c
@@ -11,7 +11,10 @@
 	CONNS_EACH = 3,
 	/* In each failure domain at least, so that one may fail. */
 	MERGERS_LEAST = 2,
-	/* A node's unanswered questions say less than this about its load. */
+	/*
+	 * A node that owes answers and sent no word for this long may be stuck:
+	 * it tells at a third of a question's goal that it is at work.
+	 */
 	OVERDUE_US = 80000,
 };
 
@@ -233,7 +236,8 @@
 static bool may_ask(const struct member_info *member, int64_t now)
 {
 	return now >= member->rest_until && gossip_is_live(member, now) &&
-	       (!member->asked_at || now - member->asked_at < OVERDUE_US);
+	       (!member->unheard_since ||
+		now - member->unheard_since < OVERDUE_US);
 }
 
 static double load(const struct member_info *member)
