--- a/batch.c
+++ b/batch.c
@@ -49,7 +49,7 @@
 
 void batch_send(struct calls *calls, struct call *call,
 		struct member_info *member, const uint16_t *parts,
-		size_t nparts)
+		size_t nparts, bool may_hand_on)
 {
 	struct flow_effect *fx = tell(calls, member->addr, 0, MSG_ASK);
 	struct batch *batch = apr_pcalloc(call->pool, sizeof(*batch));
@@ -72,6 +72,7 @@
 	parcel_request(&call->request, &body);
 	fx->msg.id = batch->id;
 	fx->msg.version = call->catalog->version;
+	fx->msg.state = may_hand_on;
 	fx->msg.remaining_us = call->give_up_at - calls->now;
 	fx->msg.wait_us = calls->now - call->start + HOP_US;
 	fx->msg.body = str_dup(calls->fx->pool, buf_str(&body));
@@ -245,8 +246,7 @@
 					       msg->ran ? CALL_TRIES_MAX : 0);
 		return;
 	}
-	if (nparts)
-		calls->batches->replied(calls, call, parts, nparts, msg);
+	calls->batches->replied(calls, call, parts, nparts, msg);
 }
 
 /* Finds one open batch at @addr, as failing one may change the table. */
@@ -340,6 +340,7 @@
 	call->nwanted = msg->name.len / sizeof(uint16_t);
 	call->wanted = apr_palloc(call->pool, msg->name.len + 1);
 	memcpy(call->wanted, msg->name.ptr, msg->name.len);
+	call->may_hand_on = msg->state;
 	call->kind = calls->shards_kind;
 	call->kind->begin(calls, call);
 	apr_pool_destroy(pool);
--- a/call.h
+++ b/call.h
@@ -85,6 +85,7 @@
  * @soft_at: what is there is answered if it is enough
  * @review_at: next review; 0 when none is planned
  * @wanted, @nwanted: shards that @asker wants; all of them for a caller
+ * @may_hand_on: @asker handed over a whole question, far shards included
  * @batches: shards that other nodes were asked for
  * @over: it has ended; freed once all effects are carried out
  * @state: of its kind
@@ -109,6 +110,7 @@
 	struct attempt *attempts;
 	uint16_t *wanted;
 	size_t nwanted;
+	bool may_hand_on;
 	struct batch *batches;
 	bool over;
 	void *state;
--- a/merge.c
+++ b/merge.c
@@ -299,9 +299,11 @@
 		      struct member_info *member, const uint16_t *parts,
 		      size_t nparts)
 {
+	bool whole = nparts == call->nparts && !call->asker.len;
+
 	for (size_t i = 0; i < nparts; i++)
 		call->parts[parts[i]].batched = true;
-	batch_send(calls, call, member, parts, nparts);
+	batch_send(calls, call, member, parts, nparts, whole);
 }
 
 /* Shards whose best target is in @domain, and that nobody has yet. */
@@ -427,6 +429,9 @@
 {
 	prepare(calls, call);
 	if (call->asker.len) {
+		send_near(calls, call);
+		if (call->may_hand_on)
+			send_far(calls, call);
 		send_rest(calls, call);
 		if (!settle(calls, call))
 			plan_review(calls, call);
@@ -490,9 +495,16 @@
 			  const uint16_t *parts, size_t nparts,
 			  const struct msg *msg)
 {
+	const struct merge_state *state = call->state;
+
 	for (size_t i = 0; i < nparts; i++)
 		take_part(call, parts[i]);
-	take(call, msg->body, msg->text);
+	if (nparts)
+		take(call, msg->body, msg->text);
+	/* It may be about to ask second targets; so must this one's asker know.
+	 */
+	if (!msg->state && call->asker.len && !state->told)
+		tell_asker(calls, call, false);
 	settle(calls, call);
 }
 
@@ -507,7 +519,7 @@
 		/* Their names are not known here, only that they count. */
 		while (part->ntried < tried)
 			part->tried[part->ntried++] = 0;
-		call_send(calls, call, parts[i]);
+		send_again(calls, call, parts[i]);
 	}
 	if (!settle(calls, call))
 		plan_review(calls, call);
--- a/msg.h
+++ b/msg.h
@@ -20,8 +20,9 @@
  * connection to the sender. ITEMS brings published keys in @body: all that
  * changed after revision @key up to @version, read @fresh_us ago; ITEMS_GET
  * asks for those after @version. ASK has another node merge a question, @body
- * is the request, @version the configuration that it needs at least; ASK_REPLY
- * brings records in @body, signatures in @text, shards left out in @shard.
+ * is the request, @name the indexes of shards in the configuration @version,
+ * @state whether far ones may be handed on; ASK_REPLY brings records in @body,
+ * signatures in @text of the shards in @name, @state when it is the last.
  */
 enum msg_kind {
 	MSG_NONE,
