--- a/edge.c
+++ b/edge.c
@@ -29,6 +29,9 @@
 	SETTINGS_LOOK_US = 1000000,
 	/* What is answered last may still be on its way to the sockets. */
 	FLUSH_US = 1500000,
+	/* Callers notice a round of this length; told of once a second. */
+	SLOW_ROUND_US = 15000,
+	SLOW_TOLD_US = 1000000,
 };
 
 /* Ids of calls to the store have this bit, those of attempts never do. */
@@ -53,6 +56,8 @@
 	enum store_call store_call;
 	uint64_t store_id;
 	bool ready;
+	int events[FLOW_EVENTS];
+	int64_t slow_told_at;
 	int signal_fd;
 	struct watch *signals;
 };
@@ -62,6 +67,7 @@
 static void feed(struct edge *edge, struct flow_event event)
 {
 	event.now = loop_now();
+	edge->events[event.type]++;
 	tier_reduce(edge->tier, &event, &edge->fx);
 	/* Carrying out may itself feed; the outer round takes that along. */
 	if (!edge->carrying)
@@ -403,6 +409,26 @@
 
 /* Life. */
 
+/*
+ * A node that is held up answers late for reasons that are not seen in any
+ * request: its processor was taken away, or it had too much to do at once.
+ */
+static void tell_slow_round(struct edge *edge)
+{
+	int64_t now = loop_now();
+	int64_t took = now - loop_round_at(edge->loop);
+
+	if (took >= SLOW_ROUND_US && now - edge->slow_told_at > SLOW_TOLD_US) {
+		edge->slow_told_at = now;
+		LOG_WARN("a round took %lld ms: %d requests, %d replies, "
+			 "%d of the store, %d messages",
+			 (long long)took / 1000, edge->events[FLOW_REQUEST],
+			 edge->events[FLOW_REPLY], edge->events[FLOW_STORE],
+			 edge->events[FLOW_MSG]);
+	}
+	memset(edge->events, 0, sizeof(edge->events));
+}
+
 static void on_round(void *ctx)
 {
 	struct edge *edge = ctx;
@@ -411,6 +437,7 @@
 	if (now >= tier_wake_at(edge->tier))
 		feed(edge, (struct flow_event){ .type = FLOW_TICK });
 	look_at_settings(edge, now);
+	tell_slow_round(edge);
 }
 
 static int64_t wait_us(void *ctx)
--- a/flow.h
+++ b/flow.h
@@ -20,6 +20,7 @@
 	FLOW_PEER_LOST, /* the connection to a node broke: from */
 	FLOW_SETTINGS, /* the settings were read anew: settings */
 	FLOW_STOP, /* planned stop */
+	FLOW_EVENTS,
 };
 
 /**
--- a/loop.c
+++ b/loop.c
@@ -31,6 +31,7 @@
 	int nhooks;
 	struct watch *dead;
 	bool stopped;
+	int64_t round_at;
 };
 
 int64_t loop_now(void)
@@ -167,6 +168,7 @@
 
 	if (apr_pollset_poll(loop->set, wait_time(loop), &count, &ready))
 		count = 0;
+	loop->round_at = loop_now();
 	for (apr_int32_t i = 0; i < count; i++) {
 		struct watch *watch = ready[i].client_data;
 
@@ -185,6 +187,11 @@
 		loop_step(loop);
 }
 
+int64_t loop_round_at(const struct loop *loop)
+{
+	return loop->round_at;
+}
+
 void loop_stop(struct loop *loop)
 {
 	loop->stopped = true;
--- a/loop.h
+++ b/loop.h
@@ -41,5 +41,7 @@
 /** loop_step() - one round. */
 void loop_step(struct loop *loop);
 void loop_stop(struct loop *loop);
+/** loop_round_at() - when the present round began, monotonic microseconds. */
+int64_t loop_round_at(const struct loop *loop);
 /** loop_now() - monotonic microseconds. */
 int64_t loop_now(void);
--- a/merge.c
+++ b/merge.c
@@ -18,6 +18,8 @@
 	RETRY_AFTER_US = 300000,
 	/* The way back to the caller, and what a busy core needs to answer. */
 	RETURN_US = 12000,
+	/* Word to the asking node may be under way this long. */
+	TELL_SAFE_US = 6000,
 	/* A message to another node costs as much as a request to a target. */
 	BATCH_LEAST = 2,
 };
@@ -252,8 +254,12 @@
 {
 	const struct merge_state *state = call->state;
 
-	if (call->asker.len && !state->told && call->parts[part].ntried)
+	if (call->asker.len && !state->told && call->parts[part].ntried) {
+		/* The word would come too late: they are asked from there. */
+		if (calls->now >= merge_batch_at(call) - TELL_SAFE_US)
+			return;
 		tell_asker(calls, call, false);
+	}
 	call_send(calls, call, part);
 }
 
--- a/msg.h
+++ b/msg.h
@@ -18,7 +18,8 @@
  *
  * GOSSIP brings members in @body. RELINK asks the receiver to open a new
  * connection to the sender. ITEMS brings published keys in @body: all that
- * changed after revision @key up to @version, read @fresh_us ago; ITEMS_GET
+ * changed after revision @key up to @version, read @fresh_us ago, to be passed
+ * on where @state says so; @wait_us is since the store was lost; ITEMS_GET
  * asks for those after @version. ASK has another node merge a question, @body
  * is the request, @name the indexes of shards in the configuration @version,
  * @state whether far ones may be handed on; ASK_REPLY brings records in @body,
--- a/peer.c
+++ b/peer.c
@@ -254,7 +254,8 @@
 	uint64_t key = str_hash(addr);
 	struct link *link = apr_hash_get(peers->links, &key, sizeof(key));
 
-	if (!link)
+	/* A young one has not been silent for long; it may carry answers. */
+	if (!link || loop_now() - link->opened_at < SILENT_US)
 		return;
 	link_close(link, false);
 	link->retry_at = 0;
--- a/share.c
+++ b/share.c
@@ -1,5 +1,7 @@
 #include "share.h"
 
+#include <stdlib.h>
+
 enum {
 	/*
 	 * Without word for this long a node reads by itself. A reader hears
@@ -16,6 +18,11 @@
 	ASK_US = 200000,
 	/* The store was lost so long ago that it does not matter any more. */
 	LOST_MATTERS_US = 10000000,
+	/* Nodes that one node tells; 90 are reached in three steps. */
+	TREE_WIDTH = 4,
+	PLACES_MAX = 1024,
+	/* Word is passed on if it is this much newer than what was known. */
+	NEWER_US = 50000,
 };
 
 void share_init(struct share *share, struct gossip *gossip,
@@ -43,13 +50,14 @@
 }
 
 static void tell(struct share *share, struct str addr, uint32_t kind,
-		 uint64_t since, struct str body, int64_t now)
+		 uint64_t since, struct str body, bool pass_on, int64_t now)
 {
 	struct flow_effect *fx = flow_add(share->fx, FLOW_TELL);
 	int64_t lost = now - roster_store_lost_at(share->dir->roster);
 
 	fx->addr = str_dup(share->fx->pool, addr);
 	fx->msg.kind = kind;
+	fx->msg.state = pass_on;
 	fx->msg.key = since;
 	fx->msg.version = share->dir->revision;
 	fx->msg.fresh_us = now - share->dir->read_at;
@@ -68,13 +76,13 @@
 	return body;
 }
 
-static void ask_for_more(struct share *share, int64_t now)
+/* One of those that know more, each with the same chance, near ones first. */
+static struct member_info *pick_better(const struct share *share, int64_t now)
 {
 	apr_hash_index_t *it;
 	struct member_info *best = NULL;
+	uint64_t seen = 0;
 
-	if (now - share->asked_at < ASK_US)
-		return;
 	for (it = apr_hash_first(NULL, share->gossip->members); it;
 	     it = apr_hash_next(it)) {
 		void *value;
@@ -83,13 +91,24 @@
 		apr_hash_this(it, NULL, NULL, &value);
 		member = value;
 		if (member->entry.revision <= share->dir->revision ||
-		    !gossip_is_live(member, now))
+		    !gossip_is_live(member, now) ||
+		    (best && best->near && !member->near))
 			continue;
-		if (!best || member->near > best->near ||
-		    (member->near == best->near &&
-		     member->entry.revision > best->entry.revision))
+		if (best && member->near && !best->near)
+			seen = 0;
+		if (!rng_below(share->gossip->rng, ++seen))
 			best = member;
 	}
+	return best;
+}
+
+static void ask_for_more(struct share *share, int64_t now)
+{
+	struct member_info *best;
+
+	if (now - share->asked_at < ASK_US)
+		return;
+	best = pick_better(share, now);
 	if (!best)
 		return;
 	/* All keys from another domain are dear: the reader's turn comes. */
@@ -97,7 +116,8 @@
 	    now - share->started_at < START_LONG_WAIT_US)
 		return;
 	share->asked_at = now;
-	tell(share, best->addr, MSG_ITEMS_GET, 0, (struct str){ 0 }, now);
+	tell(share, best->addr, MSG_ITEMS_GET, 0, (struct str){ 0 }, false,
+	     now);
 }
 
 void share_tick(struct share *share, int64_t now)
@@ -112,20 +132,37 @@
 		self->state &= ~(uint32_t)MEMBER_READS;
 	else
 		self->state |= MEMBER_READS;
-	/* A reader that the store answers will hear of it from there. */
-	if (!share->dir->revision || share->reader->failures ||
-	    now - share->dir->read_at >= STALE_US)
+	if (!share->dir->revision || now - share->dir->read_at >= STALE_US)
 		ask_for_more(share, now);
 }
 
-void share_read(struct share *share, int64_t now)
+/** struct place - a node in the order in which word is passed on */
+struct place {
+	uint32_t ip;
+	bool reads;
+	struct member_info *member; /* NULL: this node */
+};
+
+static int by_ip(const void *a, const void *b)
 {
+	const struct place *x = a;
+	const struct place *y = b;
+
+	return x->ip < y->ip ? -1 : x->ip > y->ip;
+}
+
+/* Live nodes of the domain by address, the reader first. */
+static size_t list_places(const struct share *share, int64_t now,
+			  struct place *places)
+{
+	const struct member_entry *self = &share->gossip->self;
 	apr_hash_index_t *it;
-	struct str body;
+	size_t count = 0;
+	size_t reader = 0;
+	struct place first;
 
-	if (!share->dir->revision || !gossip_reads(share->gossip, now))
-		return;
-	body = pack(share, share->pushed);
+	places[count++] =
+		(struct place){ self->ip, self->state & MEMBER_READS, NULL };
 	for (it = apr_hash_first(NULL, share->gossip->members); it;
 	     it = apr_hash_next(it)) {
 		void *value;
@@ -133,13 +170,51 @@
 
 		apr_hash_this(it, NULL, NULL, &value);
 		member = value;
-		if (member->entry.domain == share->gossip->self.domain &&
-		    gossip_is_live(member, now))
-			tell(share, member->addr, MSG_ITEMS, share->pushed,
-			     body, now);
+		if (member->near && gossip_is_live(member, now) &&
+		    count < PLACES_MAX)
+			places[count++] = (struct place){ member->entry.ip,
+							  member->entry.state &
+								  MEMBER_READS,
+							  member };
 	}
+	qsort(places, count, sizeof(*places), by_ip);
+	while (reader + 1 < count && !places[reader].reads)
+		reader++;
+	first = places[reader];
+	memmove(places + 1, places, reader * sizeof(*places));
+	places[0] = first;
+	return count;
+}
+
+/*
+ * The reader tells a few nodes, each of these a few more, so that no link has
+ * to carry it for a whole domain: a hundred new targets are 30 kB a node, and
+ * took a link of 200 Mbit/s for a third of a question's goal.
+ */
+static void tell_below(struct share *share, uint64_t since, struct str body,
+		       int64_t now)
+{
+	struct place places[PLACES_MAX];
+	size_t count = list_places(share, now, places);
+	size_t mine = 0;
+
+	while (mine < count && places[mine].member)
+		mine++;
+	for (size_t i = 1; i <= TREE_WIDTH; i++) {
+		size_t below = mine * TREE_WIDTH + i;
+
+		if (below < count && places[below].member)
+			tell(share, places[below].member->addr, MSG_ITEMS,
+			     since, body, true, now);
+	}
+}
+
+void share_read(struct share *share, int64_t now)
+{
+	if (!share->dir->revision || !gossip_reads(share->gossip, now))
+		return;
+	tell_below(share, share->pushed, pack(share, share->pushed), now);
 	share->pushed = share->dir->revision;
-	share->pushed_at = now;
 }
 
 void share_items(struct share *share, struct str from, const struct msg *msg,
@@ -149,6 +224,7 @@
 	struct store_item *items;
 	apr_pool_t *pool;
 	size_t count;
+	bool newer;
 
 	apr_pool_create(&pool, dir->pool);
 	if (parcel_open_items(msg->body, pool, &items, &count)) {
@@ -163,17 +239,24 @@
 	apr_pool_destroy(pool);
 	/* What changed between is missing: ask for it. */
 	if (msg->key > dir->revision) {
-		tell(share, from, MSG_ITEMS_GET, 0, (struct str){ 0 }, now);
+		tell(share, from, MSG_ITEMS_GET, 0, (struct str){ 0 }, false,
+		     now);
 		return;
 	}
 	if (msg->version < dir->revision)
 		return;
+	newer = msg->version > dir->revision ||
+		now - msg->fresh_us > dir->read_at + NEWER_US;
 	dir->revision = msg->version;
 	dir->told = true;
 	if (now - msg->fresh_us > dir->read_at)
 		dir->read_at = now - msg->fresh_us;
 	dir->notes->revision = dir->revision;
 	dir->notes->read_at = dir->read_at;
+	/* Answers to a question of this node are for it alone. */
+	if (newer && msg->state)
+		tell_below(share, msg->key, str_dup(share->fx->pool, msg->body),
+			   now);
 }
 
 void share_wanted(struct share *share, struct str from, const struct msg *msg,
@@ -182,7 +265,7 @@
 	if (!share->dir->revision)
 		return;
 	tell(share, from, MSG_ITEMS, msg->version, pack(share, msg->version),
-	     now);
+	     false, now);
 }
 
 int64_t share_wake_at(const struct share *share, int64_t now)
--- a/share.h
+++ b/share.h
@@ -26,7 +26,6 @@
 	uint64_t pushed;
 	int64_t asked_at;
 	int64_t started_at;
-	int64_t pushed_at;
 };
 
 void share_init(struct share *share, struct gossip *gossip,
--- a/tier.c
+++ b/tier.c
@@ -311,6 +311,8 @@
 	case FLOW_STOP:
 		on_stop(tier);
 		break;
+	case FLOW_EVENTS:
+		break;
 	}
 	share_tick(&tier->share, event->now);
 	gossip_tick(&tier->gossip, event->now);
