--- /dev/null
+++ b/tests/check_tier.c
@@ -0,0 +1,535 @@
+/*
+ * Nodes of the tier in virtual time, against fakes of store, targets and
+ * callers: what a caller gets, and what targets see, when things fail.
+ */
+#include <stdio.h>
+
+#include <check.h>
+
+#include "stage.h"
+#include "suite.h"
+
+enum {
+	GOAL_US = 100000,
+	SECOND_US = 1000000,
+	NODES = 6,
+	FULL = STAGE_SHARDS,
+};
+
+static struct stage *begin(int nodes)
+{
+	struct stage *stage = stage_create(nodes, 7);
+
+	stage_add_targets(stage, "s", 2);
+	for (int i = 0; i < 2 * STAGE_DOMAINS; i++)
+		stage_add_target(stage, "single", i % STAGE_DOMAINS);
+	stage_configure(stage, 1);
+	for (int i = 0; i < nodes; i++)
+		stage_start_node(stage, i);
+	stage_settle(stage);
+	return stage;
+}
+
+static int64_t took(const struct stage_call *call)
+{
+	return call->answered_at - call->start;
+}
+
+static int most_targets_of_a_shard(const struct stage_call *call)
+{
+	int most = 0;
+
+	for (int i = 0; i < 2 * STAGE_SHARDS; i++)
+		if (call->targets_of_shard[i] > most)
+			most = call->targets_of_shard[i];
+	return most;
+}
+
+static void check_merged(const struct stage_call *call, size_t parts)
+{
+	ck_assert_int_eq(call->status, 200);
+	ck_assert_uint_eq(call->parts, parts);
+	ck_assert_uint_eq(call->missing, FULL - parts);
+	ck_assert(!call->duplicate_part);
+	ck_assert(!call->foreign_part);
+	ck_assert(!call->not_greatest);
+	ck_assert_int_le(most_targets_of_a_shard(call), 2);
+}
+
+/* Nothing fails: each node answers each kind, whole and in time. */
+START_TEST(test_calm)
+{
+	struct stage *stage = begin(NODES);
+	int merged = stage_call(stage, _i, STAGE_MERGED);
+	int single = stage_call(stage, _i, STAGE_SINGLE);
+	int once = stage_call(stage, _i, STAGE_ONCE);
+
+	stage_run(stage, SECOND_US);
+	check_merged(&stage->calls[merged], FULL);
+	ck_assert_int_le(took(&stage->calls[merged]), GOAL_US / 2);
+	ck_assert_int_eq(stage->calls[single].status, 200);
+	ck_assert_int_eq(stage->calls[once].status, 200);
+	ck_assert_int_eq(stage->calls[once].runs, 1);
+	stage_destroy(stage);
+}
+END_TEST
+
+/*
+ * The caller gets a whole answer in time though a target of each third shard
+ * stands still for longer than the goal: the other target of the shard is
+ * asked once the reply is late, and the still one gets no more meanwhile.
+ */
+START_TEST(test_paused_targets)
+{
+	struct stage *stage = begin(NODES);
+	int first;
+	int second;
+
+	for (int i = 0; i < 2 * FULL; i += 6)
+		stage->targets[i].paused_until = stage->now + 3 * GOAL_US;
+	first = stage_call(stage, 0, STAGE_MERGED);
+	stage_run(stage, GOAL_US);
+	second = stage_call(stage, 0, STAGE_MERGED);
+	stage_run(stage, SECOND_US);
+	check_merged(&stage->calls[first], FULL);
+	check_merged(&stage->calls[second], FULL);
+	ck_assert_int_le(took(&stage->calls[first]), GOAL_US);
+	ck_assert_int_le(took(&stage->calls[second]), GOAL_US / 2);
+	stage_destroy(stage);
+}
+END_TEST
+
+/** struct gap - shards without a working target, and what comes of it */
+struct gap {
+	int shards;
+	bool silent; /* they take requests, and do not refuse connections */
+	int status;
+	bool in_time;
+};
+
+static const struct gap gaps[] = {
+	{ 1, true, 200, true },	  { 3, true, 200, true },
+	{ 1, false, 200, true },  { 3, false, 200, true },
+	{ 6, true, 504, false },  { 6, false, 503, true },
+	{ 12, false, 503, true },
+};
+
+/*
+ * Both targets of some shards are gone. While enough is left the caller gets
+ * an answer that says what is missing, by its goal; else it hears at once that
+ * nothing can be had, with the time to come back.
+ */
+START_TEST(test_missing_shards)
+{
+	const struct gap *gap = &gaps[_i];
+	struct stage *stage = begin(NODES);
+	struct stage_call *call;
+	int warm;
+	int index;
+
+	for (int i = 0; i < 2 * gap->shards; i++) {
+		stage->targets[i].silent = gap->silent;
+		stage->targets[i].up = gap->silent;
+	}
+	/* What is refused once is known to be down for the next. */
+	warm = stage_call(stage, 2, STAGE_MERGED);
+	stage_run(stage, GOAL_US / 4);
+	index = stage_call(stage, 2, STAGE_MERGED);
+	stage_run(stage, 3 * SECOND_US);
+	call = &stage->calls[index];
+	ck_assert_int_ne(stage->calls[warm].status, 0);
+	ck_assert_int_eq(call->status, gap->status);
+	if (gap->status == 200)
+		check_merged(call, (size_t)(FULL - gap->shards));
+	if (gap->in_time)
+		ck_assert_int_le(took(call), GOAL_US);
+	if (gap->status == 503) {
+		ck_assert_int_gt(call->retry_after_us, 0);
+		ck_assert_int_eq(call->runs, 0);
+	}
+	stage_destroy(stage);
+}
+END_TEST
+
+/** struct once_case - what the targets do, and what the caller may hear */
+struct once_case {
+	const char *name;
+	double shed;
+	double lose;
+	bool down;
+	int status;
+	int runs;
+};
+
+static const struct once_case once_cases[] = {
+	{ "reply lost after the run", 0, 1, false, 502, 1 },
+	{ "rejected by all", 1, 0, false, 503, 0 },
+	{ "no connection to any", 0, 0, true, 503, 0 },
+};
+
+/*
+ * A request that may run once only. The reply is lost, or no target takes it:
+ * the caller is told "not run" only where nothing ran, and it never runs twice.
+ */
+START_TEST(test_once)
+{
+	const struct once_case *c = &once_cases[_i];
+	struct stage *stage = begin(NODES);
+	int index;
+
+	for (int i = 2 * FULL; i < stage->ntargets; i++) {
+		stage->targets[i].shed = c->shed;
+		stage->targets[i].lose = c->lose;
+		stage->targets[i].up = !c->down;
+	}
+	index = stage_call(stage, 1, STAGE_ONCE);
+	stage_run(stage, 3 * SECOND_US);
+	ck_assert_int_eq(stage->calls[index].status, c->status);
+	ck_assert_int_eq(stage->calls[index].runs, c->runs);
+	if (c->status == 503)
+		ck_assert_int_gt(stage->calls[index].retry_after_us, 0);
+	stage_destroy(stage);
+}
+END_TEST
+
+/*
+ * One target rejects the request as not run; it goes to another one, and the
+ * caller notices nothing.
+ */
+START_TEST(test_once_goes_on)
+{
+	struct stage *stage = begin(NODES);
+	int served = 0;
+
+	for (int i = 2 * FULL; i < stage->ntargets - 1; i++)
+		stage->targets[i].shed = 0.4;
+	for (int i = 0; i < 20; i++) {
+		int index = stage_call(stage, 1, STAGE_ONCE);
+
+		stage_run(stage, SECOND_US);
+		served += stage->calls[index].status == 200;
+		ck_assert_int_le(stage->calls[index].runs, 1);
+	}
+	ck_assert_int_ge(served, 15);
+	stage_destroy(stage);
+}
+END_TEST
+
+/** struct node_fault - what happens to nodes that merge for others */
+struct node_fault {
+	const char *name;
+	bool kill;
+	bool freeze;
+	bool cut;
+};
+
+static const struct node_fault node_faults[] = {
+	{ "killed", true, false, false },
+	{ "frozen", false, true, false },
+	{ "cut off", false, false, true },
+};
+
+static void strike(struct stage *stage, const struct node_fault *fault,
+		   int node)
+{
+	if (fault->kill)
+		stage_kill_node(stage, node);
+	if (fault->freeze)
+		stage->nodes[node].frozen_until = stage->now + 2 * SECOND_US;
+	for (int i = 0; fault->cut && i < stage->nnodes; i++)
+		stage->links_cut[i][node] = stage->links_cut[node][i] = true;
+}
+
+/*
+ * All nodes but the caller's own die, freeze or are cut off just after they
+ * were handed shards. The caller gets its answer from the targets directly, by
+ * its goal or soon after, and no shard is asked at more targets than allowed.
+ */
+START_TEST(test_merging_node_lost)
+{
+	struct stage *stage = begin(NODES);
+	int index = stage_call(stage, 0, STAGE_MERGED);
+	int next;
+
+	stage_run(stage, 1200);
+	for (int i = 1; i < NODES; i++)
+		strike(stage, &node_faults[_i], i);
+	stage_run(stage, SECOND_US / 2);
+	next = stage_call(stage, 0, STAGE_MERGED);
+	stage_run(stage, SECOND_US);
+	ck_assert_int_eq(stage->calls[index].status, 200);
+	ck_assert_int_le(took(&stage->calls[index]), 3 * GOAL_US / 2);
+	ck_assert_int_le(most_targets_of_a_shard(&stage->calls[index]), 2);
+	check_merged(&stage->calls[next], FULL);
+	ck_assert_int_le(took(&stage->calls[next]), GOAL_US);
+	stage_destroy(stage);
+}
+END_TEST
+
+/*
+ * The index is cut into other shards while questions are under way: each
+ * answer holds parts of one version only, whichever nodes have which.
+ */
+START_TEST(test_reshard)
+{
+	struct stage *stage = begin(NODES);
+	int calls[60];
+
+	stage_add_targets(stage, "r", 2);
+	stage_run(stage, SECOND_US);
+	for (int i = 0; i < 60; i++) {
+		if (i == 30)
+			stage_configure(stage, 10);
+		calls[i] = stage_call(stage, i % NODES, STAGE_MERGED);
+		stage_run(stage, 10000);
+	}
+	stage_run(stage, SECOND_US);
+	for (int i = 0; i < 60; i++)
+		check_merged(&stage->calls[calls[i]], FULL);
+	stage_destroy(stage);
+}
+END_TEST
+
+static void keep_asking(struct stage *stage, int64_t us)
+{
+	for (int64_t passed = 0; passed < us; passed += 20000) {
+		stage_call(stage, (int)(passed / 20000) % stage->nnodes,
+			   STAGE_MERGED);
+		stage_run(stage, 20000);
+	}
+}
+
+/*
+ * A failure domain is taken out: after five seconds no target there gets a
+ * request, from no node, and callers are served by the others.
+ */
+START_TEST(test_domain_out)
+{
+	struct stage *stage = begin(NODES);
+	int index;
+
+	keep_asking(stage, SECOND_US);
+	stage_domain(stage, 1, true);
+	keep_asking(stage, 7 * SECOND_US);
+	ck_assert_int_eq(stage->late_for_out, 0);
+	index = stage_call(stage, 1, STAGE_MERGED);
+	stage_run(stage, SECOND_US);
+	check_merged(&stage->calls[index], FULL);
+	stage_destroy(stage);
+}
+END_TEST
+
+/*
+ * A target says that it leaves, or its entry goes: three seconds later it gets
+ * nothing more, though the store is cut off from half of the nodes.
+ */
+START_TEST(test_leaving)
+{
+	struct stage *stage = begin(NODES);
+
+	for (int i = 0; i < NODES; i += 2)
+		stage->nodes[i].store_cut = true;
+	keep_asking(stage, SECOND_US);
+	stage->targets[0].leaving = true;
+	stage->targets[0].left_at = stage->now;
+	stage_publish(stage, 0);
+	stage->targets[3].left_at = stage->now;
+	stage_unpublish(stage, 3);
+	keep_asking(stage, 5 * SECOND_US);
+	ck_assert_int_eq(stage->late_for_left, 0);
+	stage_destroy(stage);
+}
+END_TEST
+
+/*
+ * The store turns a node away; a new version is published. The node learns of
+ * it from the others and answers by it within three seconds.
+ */
+START_TEST(test_configuration_from_peers)
+{
+	struct stage *stage = begin(NODES);
+	int index;
+
+	stage_add_targets(stage, "r", 2);
+	stage_run(stage, SECOND_US);
+	stage->nodes[4].store_cut = true;
+	stage_run(stage, SECOND_US / 2);
+	stage_configure(stage, 11);
+	stage_run(stage, 3 * SECOND_US);
+	for (int i = 0; i < 2 * FULL; i++)
+		stage->targets[i].up = false;
+	index = stage_call(stage, 4, STAGE_MERGED);
+	stage_run(stage, SECOND_US);
+	check_merged(&stage->calls[index], FULL);
+	stage_destroy(stage);
+}
+END_TEST
+
+/*
+ * A node starts while it reaches neither the store nor another node. It knows
+ * no route, and says "not run, come back" rather than "no such path".
+ */
+START_TEST(test_start_alone)
+{
+	struct stage *stage = stage_create(1, 3);
+	int index;
+
+	stage->nodes[0].store_cut = true;
+	stage_configure(stage, 1);
+	stage_start_node(stage, 0);
+	stage_run(stage, 2 * SECOND_US);
+	index = stage_call(stage, 0, STAGE_ONCE);
+	ck_assert(!stage->nodes[0].ready);
+	ck_assert_int_eq(stage->calls[index].status, 503);
+	ck_assert_int_gt(stage->calls[index].retry_after_us, 0);
+	stage->nodes[0].store_cut = false;
+	stage_run(stage, SECOND_US);
+	ck_assert(stage->nodes[0].ready);
+	stage_destroy(stage);
+}
+END_TEST
+
+/*
+ * All nodes lose power at once, just after a new version was published. Within
+ * two seconds of their return they answer by that version: the store alone
+ * remembers it.
+ */
+START_TEST(test_all_restart)
+{
+	struct stage *stage = begin(NODES);
+	int index;
+
+	stage_add_targets(stage, "r", 2);
+	stage_run(stage, SECOND_US);
+	stage_configure(stage, 12);
+	for (int i = 0; i < NODES; i++)
+		stage_kill_node(stage, i);
+	stage_run(stage, SECOND_US);
+	for (int i = 0; i < NODES; i++)
+		stage_start_node(stage, i);
+	stage_run(stage, 2 * SECOND_US);
+	index = stage_call(stage, 5, STAGE_MERGED);
+	stage_run(stage, SECOND_US);
+	check_merged(&stage->calls[index], FULL);
+	ck_assert_int_eq(stage->calls[index].targets_of_shard[0], 0);
+	stage_destroy(stage);
+}
+END_TEST
+
+/*
+ * A node is told to stop: it says at once that it is not ready, serves the
+ * callers that it still has, gets no more shards from others, and ends only
+ * when it holds no request.
+ */
+START_TEST(test_planned_stop)
+{
+	struct stage *stage = begin(NODES);
+	int index;
+
+	stage_stop_node(stage, 3);
+	ck_assert(!stage->nodes[3].ready);
+	stage_run(stage, 100000);
+	index = stage_call(stage, 3, STAGE_MERGED);
+	stage_run(stage, 2 * SECOND_US);
+	check_merged(&stage->calls[index], FULL);
+	ck_assert(!stage->nodes[3].exited);
+	stage_run(stage, 2 * SECOND_US);
+	ck_assert(stage->nodes[3].exited);
+	stage_destroy(stage);
+}
+END_TEST
+
+/*
+ * Most targets reject two of three requests. Callers are served as far as the
+ * bound on second sends lets, and the bound holds over all nodes together.
+ */
+START_TEST(test_shared_retry_bound)
+{
+	struct stage *stage = begin(NODES);
+
+	for (int i = 0; i < 2 * FULL; i++)
+		stage->targets[i].shed = i % 5 ? 0.66 : 0;
+	for (int i = 0; i < 500; i++) {
+		stage_call(stage, i % NODES, STAGE_MERGED);
+		stage_run(stage, 20000);
+	}
+	ck_assert_int_gt(stage->first_sends, 0);
+	ck_assert_int_le(stage->extra_sends,
+			 stage->first_sends / 5 + 60 * FULL);
+	stage_destroy(stage);
+}
+END_TEST
+
+/*
+ * Nine nodes for a minute, nothing changes: one node a failure domain waits at
+ * the store, the others hear from it.
+ */
+START_TEST(test_store_calls)
+{
+	struct stage *stage = begin(9);
+	uint64_t before = stage->store_calls;
+
+	stage_run(stage, 60 * SECOND_US);
+	ck_assert_uint_le(stage->store_calls - before,
+			  STAGE_DOMAINS * 60 + STAGE_DOMAINS * 10);
+	stage_destroy(stage);
+}
+END_TEST
+
+/*
+ * The store is away for ten seconds and entries lapse meanwhile, though their
+ * targets live. Callers are served all the while and after.
+ */
+START_TEST(test_store_away)
+{
+	struct stage *stage = begin(NODES);
+
+	stage->store_down = true;
+	for (int i = 0; i < 10; i++) {
+		int index = stage_call(stage, i % NODES, STAGE_MERGED);
+
+		stage_run(stage, SECOND_US);
+		check_merged(&stage->calls[index], FULL);
+	}
+	for (int i = 0; i < 2 * FULL; i += 2)
+		stage_unpublish(stage, i);
+	stage->store_down = false;
+	stage_run(stage, SECOND_US);
+	for (int i = 0; i < 2 * FULL; i += 2)
+		stage_publish(stage, i);
+	stage_run(stage, SECOND_US / 2);
+	int index = stage_call(stage, 1, STAGE_MERGED);
+
+	stage_run(stage, SECOND_US);
+	check_merged(&stage->calls[index], FULL);
+	stage_destroy(stage);
+}
+END_TEST
+
+#define COUNT(table) ((int)(sizeof(table) / sizeof(*(table))))
+
+static void add(TCase *tcase)
+{
+	tcase_add_loop_test(tcase, test_calm, 0, NODES);
+	tcase_add_test(tcase, test_paused_targets);
+	tcase_add_loop_test(tcase, test_missing_shards, 0, COUNT(gaps));
+	tcase_add_loop_test(tcase, test_once, 0, COUNT(once_cases));
+	tcase_add_test(tcase, test_once_goes_on);
+	tcase_add_loop_test(tcase, test_merging_node_lost, 0,
+			    COUNT(node_faults));
+	tcase_add_test(tcase, test_reshard);
+	tcase_add_test(tcase, test_domain_out);
+	tcase_add_test(tcase, test_leaving);
+	tcase_add_test(tcase, test_configuration_from_peers);
+	tcase_add_test(tcase, test_start_alone);
+	tcase_add_test(tcase, test_all_restart);
+	tcase_add_test(tcase, test_planned_stop);
+	tcase_add_test(tcase, test_shared_retry_bound);
+	tcase_add_test(tcase, test_store_calls);
+	tcase_add_test(tcase, test_store_away);
+}
+
+int main(void)
+{
+	return suite_run("tier", add);
+}
--- /dev/null
+++ b/tests/stage.c
@@ -0,0 +1,887 @@
+#include "stage.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "../xmalloc.h"
+
+enum {
+	NEAR_US = 200,
+	FAR_US = 900,
+	STORE_US = 2000,
+	HANDSHAKE_REFUSED_US = 300,
+	SERVICE_US = 8000,
+	GOAL_US = 100000,
+	TIMEOUT_US = 1000000,
+	RESHARD_VERSION = 10,
+	PEER_PORT = 7000,
+	RECORDS = 3,
+	TOP = 4,
+	SETTLE_US = 10000000,
+	DRAIN_US = 3000000,
+	OUT_US = 5000000,
+};
+
+/* What happens later. */
+
+enum happen_type {
+	HAPPEN_REPLY,
+	HAPPEN_MSG,
+	HAPPEN_LOST,
+	HAPPEN_STORE,
+	HAPPEN_ARRIVE,
+};
+
+/** struct happen - one thing that will happen; strings on the heap */
+struct happen {
+	int64_t when;
+	uint64_t order;
+	enum happen_type type;
+	int node;
+	int from;
+	uint64_t incarnation;
+	uint64_t to_incarnation;
+	uint64_t id;
+	struct flow_reply reply;
+	struct msg msg;
+	int target;
+	enum store_call call;
+	uint64_t revision;
+	bool store_ok;
+	struct str prefix;
+	struct str request_id;
+	struct str uri;
+	struct str expected;
+	bool counted;
+};
+
+struct stage_queue {
+	struct happen *list;
+	size_t count;
+	size_t cap;
+	uint64_t order;
+};
+
+struct store_key {
+	char key[64];
+	char value[128];
+	uint64_t revision;
+	bool deleted;
+};
+
+struct stage_store {
+	struct store_key keys[2 * STAGE_TARGETS];
+	int nkeys;
+};
+
+static double draw(struct stage *stage)
+{
+	return (double)rng_below(&stage->rng, 1000000) / 1e6;
+}
+
+static struct happen *later(struct stage *stage, int64_t after,
+			    enum happen_type type, int node)
+{
+	struct stage_queue *queue = stage->queue;
+	struct happen *happen;
+
+	if (queue->count == queue->cap) {
+		queue->cap = queue->cap ? queue->cap * 2 : 256;
+		queue->list = xrealloc(queue->list,
+				       queue->cap * sizeof(*queue->list));
+	}
+	happen = &queue->list[queue->count++];
+	*happen = (struct happen){ .when = stage->now + after,
+				   .order = queue->order++,
+				   .type = type,
+				   .node = node };
+	return happen;
+}
+
+static void happen_free(struct happen *happen)
+{
+	str_free(happen->reply.body);
+	str_free(happen->reply.signature);
+	str_free(happen->msg.body);
+	str_free(happen->msg.name);
+	str_free(happen->msg.text);
+	str_free(happen->prefix);
+	str_free(happen->request_id);
+	str_free(happen->uri);
+	str_free(happen->expected);
+}
+
+/* A dialect of our own: the reducer must not depend on the platform's. */
+
+static const struct str prefixes[] = { { "all/", 4 } };
+
+static enum fact_kind fake_kind(struct str key)
+{
+	if (key.len < 5)
+		return FACT_NONE;
+	switch (key.ptr[4]) {
+	case 'c':
+		return FACT_CATALOG;
+	case 't':
+		return FACT_TARGET;
+	case 'o':
+		return FACT_DOMAIN_OUT;
+	default:
+		return FACT_NONE;
+	}
+}
+
+static struct str text(apr_pool_t *pool, const char *fmt, int number)
+{
+	char out[32];
+	int len = snprintf(out, sizeof(out), fmt, number);
+
+	return str_dup(pool, (struct str){ out, (size_t)len });
+}
+
+static void add_service(struct catalog *catalog, struct str name)
+{
+	catalog->services[catalog->nservices++] = (struct service){
+		.name = name, .key = str_hash(name), .max_conns = 64
+	};
+}
+
+static struct route *add_route(struct catalog *catalog, const char *name)
+{
+	struct route *route = &catalog->routes[catalog->nroutes++];
+
+	*route = (struct route){ .name = str_of(name),
+				 .host = STR("h"),
+				 .prefix = str_of(name),
+				 .repeatable = true,
+				 .timeout_us = TIMEOUT_US,
+				 .goal_us = GOAL_US,
+				 .attempts = 2 };
+	return route;
+}
+
+static void add_single(struct catalog *catalog, const char *name,
+		       bool repeatable)
+{
+	struct route *route = add_route(catalog, name);
+
+	route->repeatable = repeatable;
+	route->shares = apr_pcalloc(catalog->pool, sizeof(*route->shares));
+	route->shares[0] = (struct weighted){ str_hash(STR("single")), 1 };
+	route->nshares = 1;
+}
+
+static struct catalog *make_catalog(uint64_t version)
+{
+	struct catalog *catalog = catalog_create();
+	apr_pool_t *pool = catalog->pool;
+	const char *fmt = version >= RESHARD_VERSION ? "r%d" : "s%d";
+	struct route *route;
+
+	catalog->version = version;
+	catalog->routes = apr_pcalloc(pool, 4 * sizeof(*catalog->routes));
+	catalog->services = apr_pcalloc(
+		pool, (STAGE_SHARDS + 1) * sizeof(*catalog->services));
+	route = add_route(catalog, "/all/");
+	route->top = TOP;
+	route->least = 0.7;
+	route->shards = apr_pcalloc(pool, STAGE_SHARDS * sizeof(uint64_t));
+	for (int i = 0; i < STAGE_SHARDS; i++) {
+		struct str name = text(pool, fmt, i);
+
+		add_service(catalog, name);
+		route->shards[route->nshards++] = str_hash(name);
+	}
+	add_service(catalog, STR("single"));
+	add_single(catalog, "/one/", true);
+	add_single(catalog, "/once/", false);
+	return catalog;
+}
+
+static int fake_decode(struct str key, struct str value, struct fact *out,
+		       apr_pool_t *pool, struct error *err)
+{
+	char service[32];
+	char addr[32];
+	int domain;
+	int leaving;
+
+	*out = (struct fact){ .kind = fake_kind(key) };
+	if (out->kind == FACT_CATALOG)
+		out->catalog = make_catalog(strtoull(value.ptr, NULL, 10));
+	if (out->kind == FACT_DOMAIN_OUT)
+		out->domain =
+			str_dup(pool, (struct str){ key.ptr + 6, key.len - 6 });
+	if (out->kind != FACT_TARGET)
+		return 0;
+	out->target.id =
+		str_dup(pool, (struct str){ key.ptr + 6, key.len - 6 });
+	if (sscanf(value.ptr, "%31s %31s %d %d", service, addr, &domain,
+		   &leaving) != 4)
+		return error_set(err, ERR_LIST, "entry");
+	out->target.service = str_hash(str_of(service));
+	out->target.addr = str_dup(pool, str_of(addr));
+	out->target.domain = text(pool, "d%d", domain);
+	out->target.slots = 2;
+	out->target.leaving = leaving;
+	return 0;
+}
+
+static const struct dialect fake_dialect = {
+	.prefixes = prefixes,
+	.nprefixes = 1,
+	.kind = fake_kind,
+	.decode = fake_decode,
+};
+
+/* Store. */
+
+static struct store_key *store_get(struct stage *stage, const char *key)
+{
+	struct stage_store *store = stage->store;
+
+	for (int i = 0; i < store->nkeys; i++)
+		if (!strcmp(store->keys[i].key, key))
+			return &store->keys[i];
+	snprintf(store->keys[store->nkeys].key,
+		 sizeof(store->keys[store->nkeys].key), "%s", key);
+	return &store->keys[store->nkeys++];
+}
+
+/* Calls that wait for a change are answered by it. */
+static void store_changed(struct stage *stage)
+{
+	for (size_t i = 0; i < stage->queue->count; i++) {
+		struct happen *happen = &stage->queue->list[i];
+
+		if (happen->type == HAPPEN_STORE &&
+		    happen->call == STORE_WATCH &&
+		    happen->when > stage->now + STORE_US)
+			happen->when = stage->now + STORE_US;
+	}
+}
+
+static void store_put(struct stage *stage, const char *key, const char *value)
+{
+	struct store_key *held = store_get(stage, key);
+
+	held->revision = ++stage->revision;
+	held->deleted = !value;
+	snprintf(held->value, sizeof(held->value), "%s", value ? value : "");
+	store_changed(stage);
+}
+
+void stage_configure(struct stage *stage, uint64_t version)
+{
+	char value[32];
+
+	snprintf(value, sizeof(value), "%llu", (unsigned long long)version);
+	stage->version = version;
+	store_put(stage, "all/c", value);
+}
+
+void stage_domain(struct stage *stage, int domain, bool out)
+{
+	char key[32];
+
+	snprintf(key, sizeof(key), "all/o/d%d", domain);
+	stage->out_since[domain] = out ? stage->now : 0;
+	store_put(stage, key, out ? "out" : NULL);
+}
+
+void stage_publish(struct stage *stage, int target)
+{
+	const struct stage_target *t = &stage->targets[target];
+	char key[64];
+	char value[128];
+
+	snprintf(key, sizeof(key), "all/t/%s", t->id);
+	snprintf(value, sizeof(value), "%s %s %d %d", t->service, t->addr,
+		 t->domain, t->leaving);
+	store_put(stage, key, value);
+}
+
+void stage_unpublish(struct stage *stage, int target)
+{
+	char key[64];
+
+	snprintf(key, sizeof(key), "all/t/%s", stage->targets[target].id);
+	store_put(stage, key, NULL);
+}
+
+int stage_add_target(struct stage *stage, const char *service, int domain)
+{
+	int index = stage->ntargets++;
+	struct stage_target *t = &stage->targets[index];
+
+	*t = (struct stage_target){ .domain = domain,
+				    .up = true,
+				    .service_us = SERVICE_US };
+	snprintf(t->id, sizeof(t->id), "i%d", index);
+	snprintf(t->addr, sizeof(t->addr), "10.9.%d.%d:80", domain, index);
+	snprintf(t->service, sizeof(t->service), "%s", service);
+	stage_publish(stage, index);
+	return index;
+}
+
+void stage_add_targets(struct stage *stage, const char *prefix, int each)
+{
+	for (int i = 0; i < STAGE_SHARDS; i++) {
+		char service[16];
+
+		snprintf(service, sizeof(service), "%s%d", prefix, i);
+		for (int j = 0; j < each; j++)
+			stage_add_target(stage, service,
+					 (i + j) % STAGE_DOMAINS);
+	}
+}
+
+/* Nodes. */
+
+static void carry_out(struct stage *stage, int node);
+
+static void feed(struct stage *stage, int node, struct flow_event event)
+{
+	struct stage_node *n = &stage->nodes[node];
+
+	event.now = stage->now;
+	tier_reduce(n->tier, &event, &n->fx);
+	carry_out(stage, node);
+}
+
+static int node_at(struct stage *stage, struct str addr)
+{
+	for (int i = 0; i < stage->nnodes; i++)
+		if (str_eq(addr, str_of(stage->nodes[i].addr)))
+			return i;
+	return -1;
+}
+
+static int64_t hop(struct stage *stage, int domain, int other)
+{
+	int64_t us = domain == other ? NEAR_US : FAR_US;
+
+	return us + (int64_t)rng_below(&stage->rng, 200);
+}
+
+static void do_tell(struct stage *stage, int node, const struct flow_effect *fx)
+{
+	int to = node_at(stage, fx->addr);
+	struct happen *happen;
+
+	if (to < 0)
+		return;
+	if (!stage->nodes[to].up) {
+		happen = later(stage, NEAR_US, HAPPEN_LOST, node);
+		happen->from = to;
+		return;
+	}
+	if (stage->links_cut[node][to])
+		return;
+	happen = later(
+		stage,
+		hop(stage, stage->nodes[node].domain, stage->nodes[to].domain),
+		HAPPEN_MSG, to);
+	happen->from = node;
+	happen->incarnation = stage->nodes[node].incarnation;
+	happen->to_incarnation = fx->incarnation;
+	happen->msg = fx->msg;
+	happen->msg.body = str_keep(fx->msg.body);
+	happen->msg.name = str_keep(fx->msg.name);
+	happen->msg.text = str_keep(fx->msg.text);
+}
+
+static void do_send(struct stage *stage, int node, const struct flow_effect *fx)
+{
+	struct happen *happen = later(stage, FAR_US, HAPPEN_ARRIVE, node);
+
+	happen->id = fx->id;
+	happen->incarnation = stage->nodes[node].incarnation;
+	happen->request_id = str_keep(fx->request->request_id);
+	happen->uri = str_keep(fx->request->uri);
+	happen->expected = str_keep(fx->expected);
+	happen->target = -1;
+	for (int i = 0; i < stage->ntargets; i++)
+		if (stage->targets[i].up &&
+		    str_eq(fx->addr, str_of(stage->targets[i].addr)))
+			happen->target = i;
+	if (happen->target < 0)
+		happen->when = stage->now + HANDSHAKE_REFUSED_US;
+}
+
+static void do_cancel(struct stage *stage, const struct flow_effect *fx,
+		      int node)
+{
+	for (size_t i = 0; i < stage->queue->count; i++) {
+		struct happen *happen = &stage->queue->list[i];
+
+		if (happen->type == HAPPEN_REPLY && happen->node == node &&
+		    happen->id == fx->id)
+			happen->id = 0;
+	}
+}
+
+static void do_read(struct stage *stage, int node, const struct flow_effect *fx)
+{
+	bool ok = !stage->store_down && !stage->nodes[node].store_cut;
+	struct happen *happen = later(stage, STORE_US, HAPPEN_STORE, node);
+
+	stage->store_calls++;
+	happen->call = fx->read;
+	happen->revision = fx->revision;
+	happen->store_ok = ok;
+	happen->incarnation = stage->nodes[node].incarnation;
+	if (ok && fx->read == STORE_WATCH && fx->revision >= stage->revision)
+		happen->when = stage->now + fx->time_left_us;
+}
+
+/* A part's signature is "CALL.SHARD.TARGET". */
+static void judge_parts(struct stage_call *call, int id, struct str signatures)
+{
+	bool seen[2 * STAGE_SHARDS] = { false };
+	char copy[4096];
+	char *save = NULL;
+
+	snprintf(copy, sizeof(copy), "%.*s", STR_ARG(signatures));
+	for (char *at = strtok_r(copy, ", ", &save); at;
+	     at = strtok_r(NULL, ", ", &save)) {
+		int of = -1;
+		int shard = -1;
+
+		if (sscanf(at, "%d.%d", &of, &shard) != 2 || of != id ||
+		    shard < 0 || shard >= 2 * STAGE_SHARDS) {
+			call->foreign_part = true;
+			continue;
+		}
+		if (seen[shard])
+			call->duplicate_part = true;
+		seen[shard] = true;
+		call->parts++;
+	}
+	/* All from one version: either the first shards, or the second. */
+	for (int i = 0; i < STAGE_SHARDS; i++)
+		for (int j = STAGE_SHARDS; j < 2 * STAGE_SHARDS; j++)
+			if (seen[i] && seen[j])
+				call->foreign_part = true;
+}
+
+static void do_answer(struct stage *stage, const struct flow_effect *fx)
+{
+	struct stage_call *call;
+
+	if (!fx->id || fx->id > (uint64_t)stage->ncalls)
+		return;
+	call = &stage->calls[fx->id - 1];
+	call->answered_at = stage->now;
+	call->status = fx->status;
+	call->missing = fx->missing;
+	call->retry_after_us = fx->retry_after_us;
+	if (!fx->merged)
+		return;
+	judge_parts(call, (int)fx->id, fx->signatures);
+	for (size_t i = 16; i + 16 <= fx->body.len; i += 16)
+		if (memcmp(fx->body.ptr + i - 16, fx->body.ptr + i, 16) < 0)
+			call->not_greatest = true;
+}
+
+static void carry_out(struct stage *stage, int node)
+{
+	struct stage_node *n = &stage->nodes[node];
+
+	for (size_t i = 0; i < n->fx.count; i++) {
+		struct flow_effect fx = n->fx.list[i];
+
+		if (fx.type == FLOW_TELL)
+			do_tell(stage, node, &fx);
+		else if (fx.type == FLOW_SEND)
+			do_send(stage, node, &fx);
+		else if (fx.type == FLOW_CANCEL)
+			do_cancel(stage, &fx, node);
+		else if (fx.type == FLOW_READ)
+			do_read(stage, node, &fx);
+		else if (fx.type == FLOW_ANSWER)
+			do_answer(stage, &fx);
+		else if (fx.type == FLOW_READY)
+			n->ready = fx.on;
+		else if (fx.type == FLOW_EXIT)
+			n->exited = true;
+	}
+	flow_clear(&n->fx);
+	tier_reap(n->tier);
+}
+
+void stage_start_node(struct stage *stage, int node)
+{
+	struct stage_node *n = &stage->nodes[node];
+	struct tier_options opt = { .settings = &n->settings,
+				    .dialect = &fake_dialect,
+				    .seed = rng_next(&stage->rng) };
+
+	n->incarnation = rng_next(&stage->rng) | 1;
+	opt.incarnation = n->incarnation;
+	n->up = true;
+	n->ready = false;
+	n->exited = false;
+	flow_effects_init(&n->fx, stage->pool);
+	n->tier = tier_create(&opt, stage->now, &n->fx);
+	feed(stage, node, (struct flow_event){ .type = FLOW_TICK });
+}
+
+void stage_kill_node(struct stage *stage, int node)
+{
+	struct stage_node *n = &stage->nodes[node];
+
+	if (!n->up)
+		return;
+	n->up = false;
+	n->ready = false;
+	tier_destroy(n->tier);
+	flow_effects_free(&n->fx);
+	n->tier = NULL;
+	for (int i = 0; i < stage->nnodes; i++) {
+		if (i == node || !stage->nodes[i].up)
+			continue;
+		later(stage, NEAR_US, HAPPEN_LOST, i)->from = node;
+	}
+}
+
+void stage_stop_node(struct stage *stage, int node)
+{
+	feed(stage, node, (struct flow_event){ .type = FLOW_STOP });
+}
+
+struct stage *stage_create(int nnodes, uint64_t seed)
+{
+	struct stage *stage = xcalloc(1, sizeof(*stage));
+
+	apr_pool_create(&stage->pool, NULL);
+	stage->now = 1000000;
+	stage->rng.seed = seed;
+	stage->nnodes = nnodes;
+	stage->queue = xcalloc(1, sizeof(*stage->queue));
+	stage->store = xcalloc(1, sizeof(*stage->store));
+	for (int i = 0; i < nnodes; i++) {
+		struct stage_node *n = &stage->nodes[i];
+		struct vm_settings *s = &n->settings;
+
+		n->domain = i % STAGE_DOMAINS;
+		snprintf(n->addr, sizeof(n->addr), "10.0.0.%d:%d", i + 1,
+			 PEER_PORT);
+		s->ip = text(stage->pool, "10.0.0.%d", i + 1);
+		s->domain = text(stage->pool, "d%d", n->domain);
+		s->peer_port = PEER_PORT;
+		s->seeds[0] = STR("10.0.0.1");
+		s->seeds[1] = STR("10.0.0.2");
+		s->nseeds = 2;
+		s->core = 0.25;
+		s->drain_us = DRAIN_US;
+		s->grace_us = 6000000;
+		s->retry_ratio = 0.2;
+		s->retry_window_us = 10000000;
+		s->retry_extra = 60;
+		s->cold_factor = 1.5;
+		s->cold_extra = 5;
+	}
+	return stage;
+}
+
+void stage_destroy(struct stage *stage)
+{
+	for (int i = 0; i < stage->nnodes; i++)
+		stage_kill_node(stage, i);
+	for (size_t i = 0; i < stage->queue->count; i++)
+		happen_free(&stage->queue->list[i]);
+	free(stage->queue->list);
+	free(stage->queue);
+	free(stage->store);
+	apr_pool_destroy(stage->pool);
+	free(stage);
+}
+
+/* What happens. */
+
+static int shard_of(const struct stage_target *t)
+{
+	if (t->service[0] == 's' && t->service[1] != 'i')
+		return atoi(t->service + 1);
+	if (t->service[0] == 'r')
+		return STAGE_SHARDS + atoi(t->service + 1);
+	return -1;
+}
+
+static void count_arrival(struct stage *stage, struct stage_target *t,
+			  int call_id)
+{
+	struct stage_call *call = &stage->calls[call_id - 1];
+	int shard = shard_of(t);
+
+	t->arrivals++;
+	if (t->left_at && stage->now - t->left_at > DRAIN_US)
+		stage->late_for_left++;
+	if (stage->out_since[t->domain] &&
+	    stage->now - stage->out_since[t->domain] > OUT_US)
+		stage->late_for_out++;
+	if (shard < 0)
+		return;
+	if (call->targets_of_shard[shard]++)
+		stage->extra_sends++;
+	else
+		stage->first_sends++;
+}
+
+static struct str make_records(struct stage *stage)
+{
+	char *bytes = xmalloc((size_t)RECORDS * 16);
+
+	for (int i = 0; i < RECORDS * 16; i++)
+		bytes[i] = (char)rng_next(&stage->rng);
+	return (struct str){ bytes, (size_t)RECORDS * 16 };
+}
+
+static void reply_later(struct stage *stage, const struct happen *from,
+			int64_t after, struct flow_reply reply)
+{
+	struct happen *happen;
+	int node = from->node;
+	uint64_t id = from->id;
+	uint64_t incarnation = from->incarnation;
+
+	happen = later(stage, after, HAPPEN_REPLY, node);
+	happen->id = id;
+	happen->incarnation = incarnation;
+	happen->reply = reply;
+}
+
+static void on_arrive(struct stage *stage, const struct happen *happen)
+{
+	struct flow_reply reply = { .result = FETCH_OK,
+				    .cold_us = -1,
+				    .running = -1 };
+	struct stage_target *t;
+	int call_id = atoi(happen->request_id.ptr);
+	char signature[64];
+	int64_t took;
+
+	if (happen->target < 0 || !stage->targets[happen->target].up) {
+		reply.result = FETCH_REFUSED;
+		reply_later(stage, happen, HANDSHAKE_REFUSED_US, reply);
+		return;
+	}
+	t = &stage->targets[happen->target];
+	if (!str_eq(happen->expected, str_of(t->id))) {
+		reply.status = 421;
+		reply.other = reply.not_run = true;
+		reply_later(stage, happen, FAR_US, reply);
+		return;
+	}
+	count_arrival(stage, t, call_id);
+	if (draw(stage) < t->shed) {
+		reply.status = 503;
+		reply.not_run = true;
+		reply_later(stage, happen, FAR_US, reply);
+		return;
+	}
+	stage->calls[call_id - 1].runs++;
+	if (t->silent)
+		return;
+	took = t->service_us / 2 +
+	       (int64_t)rng_below(&stage->rng, (uint64_t)t->service_us);
+	if (t->paused_until > stage->now)
+		took += t->paused_until - stage->now;
+	if (draw(stage) < t->lose) {
+		reply.result = FETCH_BROKEN;
+		reply_later(stage, happen, took, reply);
+		return;
+	}
+	snprintf(signature, sizeof(signature), "%d.%d.%s", call_id, shard_of(t),
+		 t->id);
+	reply.status = 200;
+	reply.signature = str_keep(str_of(signature));
+	reply.body = make_records(stage);
+	reply_later(stage, happen, took, reply);
+}
+
+static void on_store(struct stage *stage, const struct happen *happen)
+{
+	struct store_item items[2 * STAGE_TARGETS];
+	struct store_reply reply = { .items = items,
+				     .revision = stage->revision };
+	struct flow_store store = { .call = happen->call,
+				    .ok = happen->store_ok &&
+					  !stage->store_down,
+				    .reply = &reply };
+
+	for (int i = 0; i < stage->store->nkeys; i++) {
+		const struct store_key *key = &stage->store->keys[i];
+
+		if (happen->call == STORE_WATCH
+			    ? key->revision <= happen->revision
+			    : key->deleted)
+			continue;
+		items[reply.count++] =
+			(struct store_item){ str_of(key->key),
+					     str_of(key->value), key->revision,
+					     key->deleted };
+	}
+	feed(stage, happen->node,
+	     (struct flow_event){ .type = FLOW_STORE, .store = &store });
+}
+
+static void take_place(struct stage *stage, struct happen *happen)
+{
+	struct stage_node *n = &stage->nodes[happen->node];
+
+	if (happen->type == HAPPEN_ARRIVE) {
+		on_arrive(stage, happen);
+		return;
+	}
+	if (!n->up)
+		return;
+	switch (happen->type) {
+	case HAPPEN_REPLY:
+		if (happen->id && happen->incarnation == n->incarnation)
+			feed(stage, happen->node,
+			     (struct flow_event){ .type = FLOW_REPLY,
+						  .id = happen->id,
+						  .reply = &happen->reply });
+		break;
+	case HAPPEN_MSG:
+		if (happen->to_incarnation &&
+		    happen->to_incarnation != n->incarnation)
+			break;
+		feed(stage, happen->node,
+		     (struct flow_event){
+			     .type = FLOW_MSG,
+			     .from = str_of(stage->nodes[happen->from].addr),
+			     .incarnation = happen->incarnation,
+			     .msg = &happen->msg });
+		break;
+	case HAPPEN_LOST:
+		feed(stage, happen->node,
+		     (struct flow_event){
+			     .type = FLOW_PEER_LOST,
+			     .from = str_of(stage->nodes[happen->from].addr) });
+		break;
+	case HAPPEN_STORE:
+		if (happen->incarnation == n->incarnation)
+			on_store(stage, happen);
+		break;
+	case HAPPEN_ARRIVE:
+		break;
+	}
+}
+
+static int64_t frozen(const struct stage *stage, int node)
+{
+	return stage->nodes[node].frozen_until;
+}
+
+/* Index of what happens first; what meets a frozen node waits for it. */
+static size_t first(struct stage *stage)
+{
+	struct stage_queue *queue = stage->queue;
+	size_t best = SIZE_MAX;
+
+	for (size_t i = 0; i < queue->count; i++) {
+		struct happen *happen = &queue->list[i];
+
+		if (happen->type != HAPPEN_ARRIVE &&
+		    happen->when < frozen(stage, happen->node))
+			happen->when = frozen(stage, happen->node);
+		if (best == SIZE_MAX || happen->when < queue->list[best].when ||
+		    (happen->when == queue->list[best].when &&
+		     happen->order < queue->list[best].order))
+			best = i;
+	}
+	return best;
+}
+
+static int first_to_wake(struct stage *stage, int64_t *when)
+{
+	int best = -1;
+
+	for (int i = 0; i < stage->nnodes; i++) {
+		int64_t at;
+
+		if (!stage->nodes[i].up)
+			continue;
+		at = tier_wake_at(stage->nodes[i].tier);
+		if (at < frozen(stage, i))
+			at = frozen(stage, i);
+		if (best < 0 || at < *when) {
+			best = i;
+			*when = at;
+		}
+	}
+	return best;
+}
+
+void stage_run(struct stage *stage, int64_t us)
+{
+	int64_t until = stage->now + us;
+
+	for (;;) {
+		int64_t wake_at = INT64_MAX;
+		size_t next = first(stage);
+		int waker = first_to_wake(stage, &wake_at);
+		int64_t when = next == SIZE_MAX ? INT64_MAX
+						: stage->queue->list[next].when;
+
+		if ((waker < 0 || wake_at > until) && when > until)
+			break;
+		if (when <= wake_at) {
+			struct happen happen = stage->queue->list[next];
+
+			stage->queue->list[next] =
+				stage->queue->list[--stage->queue->count];
+			if (when > stage->now)
+				stage->now = when;
+			take_place(stage, &happen);
+			happen_free(&happen);
+		} else {
+			if (wake_at > stage->now)
+				stage->now = wake_at;
+			feed(stage, waker,
+			     (struct flow_event){ .type = FLOW_TICK });
+		}
+	}
+	stage->now = until;
+}
+
+void stage_settle(struct stage *stage)
+{
+	for (int64_t waited = 0; waited < SETTLE_US; waited += 100000) {
+		int ready = 0;
+
+		for (int i = 0; i < stage->nnodes; i++)
+			ready += stage->nodes[i].ready;
+		if (ready == stage->nnodes)
+			break;
+		stage_run(stage, 100000);
+	}
+	/* Word of each other goes round in a few periods. */
+	stage_run(stage, 3000000);
+}
+
+int stage_call(struct stage *stage, int node, enum stage_kind kind)
+{
+	static const char *const uris[] = { "/all/x", "/one/x", "/once/x" };
+	int index = stage->ncalls++;
+	char id[16];
+	struct flow_request request = {
+		.method = kind == STAGE_ONCE ? STR("POST") : STR("GET"),
+		.uri = str_of(uris[kind]),
+		.host = STR("h"),
+		.time_left_us = TIMEOUT_US,
+	};
+
+	snprintf(id, sizeof(id), "%d", index + 1);
+	request.request_id = str_of(id);
+	stage->calls[index] =
+		(struct stage_call){ .kind = kind, .start = stage->now };
+	feed(stage, node,
+	     (struct flow_event){ .type = FLOW_REQUEST,
+				  .id = (uint64_t)index + 1,
+				  .request = &request });
+	return index;
+}
--- a/tier.c
+++ b/tier.c
@@ -341,7 +341,8 @@
 		when = tier->gossip.next_at;
 	if (!tier->reader.active && share_at < when)
 		when = share_at;
-	if (tier->stop_at && !tier->calls.nopen && tier->stop_at < when)
+	if (tier->stop_at && !tier->stopped && !tier->calls.nopen &&
+	    tier->stop_at < when)
 		when = tier->stop_at;
 	return when;
 }
