--- /dev/null
+++ b/tests/check_parts.c
@@ -0,0 +1,493 @@
+/*
+ * Parts of the tier that need no network: records, budgets, routes, the choice
+ * of targets, heads. A table of cases each.
+ */
+#include <math.h>
+#include <stdio.h>
+
+#include <check.h>
+
+#include "../budget.h"
+#include "../head.h"
+#include "../platform/platform.h"
+#include "../records.h"
+#include "../roster.h"
+#include "suite.h"
+
+enum {
+	SECOND_US = 1000000,
+};
+
+static apr_pool_t *pool;
+
+static void make_pool(void)
+{
+	apr_pool_create(&pool, NULL);
+}
+
+static void drop_pool(void)
+{
+	apr_pool_destroy(pool);
+}
+
+/* Records: the greatest, equal ones counted, remainders left. */
+
+/** struct merge_case - bodies by letters, a record each; '-': half a record */
+struct merge_case {
+	size_t cap;
+	const char *bodies[3];
+	const char *want;
+};
+
+static const struct merge_case merge_cases[] = {
+	{ 3, { "abc", "d", NULL }, "dcb" },
+	{ 3, { "cba", "abd", NULL }, "dcb" },
+	{ 4, { "aab", "ba", NULL }, "bbaa" },
+	{ 4, { "a", NULL }, "a" },
+	{ 2, { "ab-", "c", NULL }, "cb" },
+	{ 2, { "-", "", NULL }, "" },
+	{ 0, { "ab", NULL }, "" },
+};
+
+static struct str make_body(const char *letters)
+{
+	char *bytes = apr_pcalloc(pool, strlen(letters) * RECORD_SIZE + 1);
+	size_t len = 0;
+
+	for (const char *at = letters; *at; at++) {
+		size_t size = *at == '-' ? RECORD_SIZE / 2 : RECORD_SIZE;
+
+		memset(bytes + len, *at, size);
+		len += size;
+	}
+	return (struct str){ bytes, len };
+}
+
+START_TEST(test_records)
+{
+	const struct merge_case *c = &merge_cases[_i];
+	struct records records;
+	struct str got;
+
+	records_init(&records, c->cap, pool);
+	for (int i = 0; i < 3 && c->bodies[i]; i++)
+		records_take(&records, make_body(c->bodies[i]));
+	got = records_str(&records);
+	ck_assert_uint_eq(got.len, strlen(c->want) * RECORD_SIZE);
+	for (size_t i = 0; i < strlen(c->want); i++)
+		ck_assert_int_eq(got.ptr[i * RECORD_SIZE], c->want[i]);
+}
+END_TEST
+
+/* Budgets: ratio and extra, shared by nodes, over a sliding window. */
+
+struct budget_case {
+	int nodes;
+	int first;
+	int64_t later_us;
+	int most; /* 0.8 x (0.2 x first + 50 / nodes) */
+};
+
+static const struct budget_case budget_cases[] = {
+	{ 1, 0, 0, 40 },
+	{ 5, 0, 0, 8 },
+	{ 5, 100, 0, 24 },
+	{ 5, 100, 5 * SECOND_US, 24 },
+	{ 5, 100, 12 * SECOND_US, 8 },
+	{ 100, 0, 0, 0 },
+};
+
+START_TEST(test_budget)
+{
+	const struct budget_case *c = &budget_cases[_i];
+	struct budget_rules rules = { 0.2, 50, 10 * SECOND_US };
+	struct budget *budget = budget_create(pool, rules);
+	int taken = 0;
+
+	budget_nodes(budget, c->nodes);
+	for (int i = 0; i < c->first; i++)
+		budget_first(budget, 7, SECOND_US);
+	while (taken < 1000 && budget_take(budget, 7, SECOND_US + c->later_us))
+		taken++;
+	ck_assert_int_eq(taken, c->most);
+	ck_assert_int_eq(budget_left(budget, 8, SECOND_US),
+			 (int)(0.8 * 50 / c->nodes));
+	budget_destroy(budget);
+}
+END_TEST
+
+/* Routes: host without case and port, the longest prefix. */
+
+struct route_case {
+	const char *host;
+	const char *path;
+	const char *name;
+};
+
+static const struct route_case route_cases[] = {
+	{ "h.example", "/a/x", "a" },
+	{ "H.Example:80", "/a/x", "a" },
+	{ "h.example", "/a/b/x", "ab" },
+	{ "h.example", "/a/bx", "a" },
+	{ "other.example", "/a/x", "other" },
+	{ "h.example", "/b/", NULL },
+	{ "h.example", "/a", NULL },
+	{ "h.exampl", "/a/x", NULL },
+	{ "", "/a/x", NULL },
+};
+
+static const char config_text[] =
+	"{\"version\":3,\"routes\":["
+	"{\"name\":\"a\",\"host\":\"h.example\",\"prefix\":\"/a/\","
+	"\"kind\":\"idempotent\",\"service\":\"s\",\"timeout_ms\":500,"
+	"\"goal_ms\":50,\"max_attempts\":2,\"priority\":1},"
+	"{\"name\":\"ab\",\"host\":\"h.example\",\"prefix\":\"/a/b/\","
+	"\"kind\":\"non_idempotent\",\"split\":["
+	"{\"service\":\"s\",\"weight\":3},{\"service\":\"t\",\"weight\":1}]},"
+	"{\"name\":\"other\",\"host\":\"other.example\",\"prefix\":\"/a/\","
+	"\"kind\":\"idempotent\",\"gather\":[\"s\",\"t\"],\"top_k\":5,"
+	"\"min_share\":0.75}],"
+	"\"services\":[{\"name\":\"s\",\"health_path\":\"/h\","
+	"\"max_conns\":9,\"warmup_s\":3.0,\"cold_per_s\":2.5,"
+	"\"protocol\":\"h1\",\"tls\":false},"
+	"{\"name\":\"t\",\"health_path\":\"/h\",\"max_conns\":4}],"
+	"\"limits\":{\"max_body_bytes\":1000}}";
+
+static struct catalog *read_catalog(void)
+{
+	struct error err = { 0 };
+	struct fact fact;
+
+	ck_assert_int_eq(platform_decode(STR("op/config"), str_of(config_text),
+					 &fact, pool, &err),
+			 0);
+	return fact.catalog;
+}
+
+START_TEST(test_routes)
+{
+	const struct route_case *c = &route_cases[_i];
+	struct catalog *catalog = read_catalog();
+	const struct route *route =
+		catalog_route(catalog, str_of(c->host), str_of(c->path));
+
+	if (c->name) {
+		ck_assert_ptr_nonnull(route);
+		ck_assert(str_eq(route->name, str_of(c->name)));
+	} else {
+		ck_assert_ptr_null(route);
+	}
+	catalog_unref(catalog);
+}
+END_TEST
+
+START_TEST(test_configuration)
+{
+	struct catalog *catalog = read_catalog();
+
+	ck_assert_uint_eq(catalog->version, 3);
+	ck_assert_uint_eq(catalog->nroutes, 3);
+	ck_assert(catalog->routes[0].repeatable);
+	ck_assert_int_eq(catalog->routes[0].timeout_us, 500000);
+	ck_assert_int_eq(catalog->routes[0].goal_us, 50000);
+	ck_assert(!catalog->routes[1].repeatable);
+	ck_assert_uint_eq(catalog->routes[1].nshares, 2);
+	ck_assert_uint_eq(catalog->routes[2].nshards, 2);
+	ck_assert_uint_eq(catalog->routes[2].top, 5);
+	ck_assert_int_eq(catalog->services[0].max_conns, 9);
+	ck_assert_int_eq(catalog->services[0].warmup_us, 3 * SECOND_US);
+	ck_assert_uint_eq(catalog->limits.body_bytes, 1000);
+	catalog_unref(catalog);
+}
+END_TEST
+
+/* Choice of targets: a and b, alike but for what the case says. */
+
+enum choice_fact {
+	FAR_B = 1, /* b is in another failure domain */
+	BUSY_A = 2, /* a has two requests under way */
+	STUCK_A = 4, /* a's reply is overdue */
+	SLOW_A = 8, /* a has been slow */
+	SHEDS_A = 16, /* a rejects what it gets */
+	DOWN_A = 32, /* a takes no connections */
+	LEAVING_A = 64, /* a's entry says so */
+	GONE_A = 128, /* a's entry is gone */
+	LAPSED_A = 256, /* the same, while the store was away */
+	OUT_A = 512, /* a's domain is taken out */
+	TRIED_A = 1024,
+	TRIED_B = 2048,
+	SLOW_LONG_AGO_A = 4096,
+};
+
+struct choice_case {
+	int facts;
+	const char *want; /* of "a", "b", "" for none */
+};
+
+static const struct choice_case choice_cases[] = {
+	{ FAR_B, "a" },
+	{ FAR_B | BUSY_A, "a" },
+	{ BUSY_A, "b" },
+	{ FAR_B | STUCK_A, "b" },
+	{ FAR_B | SLOW_A, "b" },
+	{ FAR_B | SLOW_LONG_AGO_A, "a" },
+	{ FAR_B | SHEDS_A, "b" },
+	{ FAR_B | DOWN_A, "b" },
+	{ FAR_B | LEAVING_A, "b" },
+	{ FAR_B | GONE_A, "b" },
+	{ FAR_B | LAPSED_A, "a" },
+	{ FAR_B | OUT_A, "b" },
+	{ FAR_B | TRIED_A, "b" },
+	{ FAR_B | TRIED_A | TRIED_B, "" },
+	{ FAR_B | TRIED_B | DOWN_A, "" },
+	{ FAR_B | TRIED_B | SHEDS_A, "a" },
+	{ FAR_B | TRIED_B | LEAVING_A, "" },
+};
+
+static struct target_entry entry(const char *id, const char *domain)
+{
+	return (struct target_entry){ .id = str_of(id),
+				      .service = 5,
+				      .addr = STR("10.0.0.1:1"),
+				      .domain = str_of(domain),
+				      .slots = 2 };
+}
+
+static struct live_target *find(struct roster *roster, const char *id)
+{
+	struct live_target *target = roster_first(roster, 5);
+
+	while (target && !str_eq(target->id, str_of(id)))
+		target = target->next;
+	return target;
+}
+
+static void reply(struct roster *roster, enum target_reply what, int64_t us,
+		  int64_t now)
+{
+	struct live_target *a = find(roster, "a");
+
+	for (int i = 0; i < 5; i++) {
+		roster_sent(roster, a, now - us);
+		roster_answered(roster, a, what, now - us, now);
+	}
+}
+
+static void apply(struct roster *roster, int facts, int64_t now)
+{
+	struct target_entry leaving = entry("a", "here");
+
+	leaving.leaving = true;
+	if (facts & BUSY_A) {
+		roster_sent(roster, find(roster, "a"), now);
+		roster_sent(roster, find(roster, "a"), now);
+	}
+	if (facts & STUCK_A)
+		roster_sent(roster, find(roster, "a"), now - 50000);
+	if (facts & SLOW_A)
+		reply(roster, REPLY_GOOD, 200000, now);
+	if (facts & SLOW_LONG_AGO_A)
+		reply(roster, REPLY_GOOD, 200000, now - 6 * SECOND_US);
+	if (facts & SHEDS_A)
+		reply(roster, REPLY_FULL, 1000, now - 20000);
+	if (facts & DOWN_A)
+		reply(roster, REPLY_DOWN, 1000, now);
+	if (facts & LEAVING_A)
+		roster_put(roster, &leaving, now);
+	if (facts & LAPSED_A)
+		roster_store_lost(roster, now - SECOND_US);
+	if (facts & (GONE_A | LAPSED_A))
+		roster_drop(roster, STR("a"), now - SECOND_US / 2);
+	if (facts & OUT_A)
+		roster_domain(roster, STR("here"), true);
+}
+
+START_TEST(test_choice)
+{
+	const struct choice_case *c = &choice_cases[_i];
+	struct roster *roster = roster_create(pool, STR("here"));
+	struct target_entry a = entry("a", "here");
+	struct target_entry b = entry("b", c->facts & FAR_B ? "there" : "here");
+	int64_t now = 100 * (int64_t)SECOND_US;
+	uint64_t tried[2];
+	struct choice choice = { .service = 5, .avoid = tried, .now = now };
+	struct live_target *got;
+
+	roster_put(roster, &a, now - 20 * SECOND_US);
+	roster_put(roster, &b, now - 20 * SECOND_US);
+	apply(roster, c->facts, now);
+	if (c->facts & TRIED_A)
+		tried[choice.navoid++] = str_hash(STR("a"));
+	if (c->facts & TRIED_B)
+		tried[choice.navoid++] = str_hash(STR("b"));
+	got = roster_choose(roster, &choice);
+	if (*c->want) {
+		ck_assert_ptr_nonnull(got);
+		ck_assert(str_eq(got->id, str_of(c->want)));
+	} else {
+		ck_assert_ptr_null(got);
+	}
+	roster_destroy(roster);
+}
+END_TEST
+
+/*
+ * A target starts again under its id: what was known of the process before
+ * says nothing of the new one.
+ */
+START_TEST(test_target_starts_again)
+{
+	struct roster *roster = roster_create(pool, STR("here"));
+	struct target_entry a = entry("a", "here");
+	int64_t now = 100 * (int64_t)SECOND_US;
+
+	a.born_ms = 1;
+	roster_put(roster, &a, now);
+	reply(roster, REPLY_DOWN, 1000, now);
+	roster_drop(roster, STR("a"), now);
+	ck_assert_int_ne(roster_use(roster, find(roster, "a"), now), USE_OK);
+	a.born_ms = 2;
+	roster_put(roster, &a, now);
+	ck_assert_int_eq(roster_use(roster, find(roster, "a"), now), USE_OK);
+	roster_destroy(roster);
+}
+END_TEST
+
+/*
+ * A cold target bears few requests a second; this node keeps to its part of
+ * them, and may use it freely once it is warm.
+ */
+START_TEST(test_cold_target)
+{
+	struct roster *roster = roster_create(pool, STR("here"));
+	struct target_entry a = entry("a", "here");
+	int64_t now = 100 * (int64_t)SECOND_US;
+	struct live_target *target;
+
+	a.cold_us = 3 * SECOND_US;
+	roster_put(roster, &a, now);
+	roster_cold_bound(roster, 5, 2);
+	target = find(roster, "a");
+	for (int i = 0; i < 2; i++) {
+		ck_assert_int_eq(roster_use(roster, target, now), USE_OK);
+		roster_sent(roster, target, now);
+	}
+	ck_assert_int_eq(roster_use(roster, target, now), USE_COLD);
+	ck_assert_int_eq(roster_use(roster, target, now + SECOND_US), USE_OK);
+	ck_assert_int_eq(roster_use(roster, target, now + 4 * SECOND_US),
+			 USE_OK);
+	roster_destroy(roster);
+}
+END_TEST
+
+/* Heads. */
+
+struct reply_case {
+	const char *name;
+	const char *value;
+	int status;
+	bool not_run;
+	bool other;
+	bool encoded;
+	int64_t cold_us;
+	int running;
+};
+
+static const struct reply_case reply_cases[] = {
+	{ "Not-Executed", "1", 503, true, false, false, -1, -1 },
+	{ "not-executed", "1", 503, true, false, false, -1, -1 },
+	{ "X-Other", "1", 503, false, false, false, -1, -1 },
+	{ "X-Other", "1", 421, true, true, false, -1, -1 },
+	{ "Content-Encoding", "gzip", 200, false, false, true, -1, -1 },
+	{ "Cold-Remaining", "1500", 200, false, false, false, 1500000, -1 },
+	{ "Cold-Remaining", "soon", 200, false, false, false, -1, -1 },
+	{ "Cold-Remaining", "-4", 200, false, false, false, -1, -1 },
+	{ "Server-Load", "3,0,8", 200, false, false, false, -1, 3 },
+	{ "Server-Load", "three", 200, false, false, false, -1, -1 },
+	{ "Server-Load", "", 200, false, false, false, -1, -1 },
+};
+
+START_TEST(test_reply_head)
+{
+	const struct reply_case *c = &reply_cases[_i];
+	struct header header = { str_of(c->name), str_of(c->value) };
+	struct upstream_reply raw = { .result = FETCH_OK,
+				      .status = c->status,
+				      .headers = &header,
+				      .nheaders = 1 };
+	struct flow_reply got;
+	struct buf lines = { 0 };
+
+	head_reply(&platform_dialect, &raw, &got, &lines);
+	ck_assert_int_eq(got.not_run, c->not_run);
+	ck_assert_int_eq(got.other, c->other);
+	ck_assert_int_eq(got.encoded, c->encoded);
+	ck_assert_int_eq(got.cold_us, c->cold_us);
+	ck_assert_int_eq(got.running, c->running);
+	buf_free(&lines);
+}
+END_TEST
+
+struct keep_case {
+	const char *name;
+	bool keep;
+};
+
+static const struct keep_case keep_cases[] = {
+	{ "Accept", true },	      { "X-Own", true },
+	{ "Content-Type", true },     { "connection", false },
+	{ "Keep-Alive", false },      { "Transfer-Encoding", false },
+	{ "Content-Length", false },  { "HOST", false },
+	{ "Request-Id", false },      { "request-deadline", false },
+	{ "Target-Instance", false }, { "Upgrade", false },
+};
+
+/* What concerns one hop, or is written anew, must not go on as it came. */
+START_TEST(test_kept_headers)
+{
+	head_dialect(&platform_dialect);
+	ck_assert_int_eq(head_keep(str_of(keep_cases[_i].name)),
+			 keep_cases[_i].keep);
+}
+END_TEST
+
+struct time_case {
+	const char *text;
+	int64_t us;
+};
+
+static const struct time_case time_cases[] = {
+	{ "500", 500000 }, { "0.5", 500 },
+	{ "", -1 },	   { "x", -1 },
+	{ "-1", -1 },	   { "99999999999999", -1 },
+	{ "0", 0 },	   { "111111111111111111111111111111", -1 },
+};
+
+START_TEST(test_time_left)
+{
+	ck_assert_int_eq(head_time_left(str_of(time_cases[_i].text)),
+			 time_cases[_i].us);
+}
+END_TEST
+
+#define COUNT(table) ((int)(sizeof(table) / sizeof(*(table))))
+
+static void add(TCase *tcase)
+{
+	tcase_add_checked_fixture(tcase, make_pool, drop_pool);
+	tcase_add_loop_test(tcase, test_records, 0, COUNT(merge_cases));
+	tcase_add_loop_test(tcase, test_budget, 0, COUNT(budget_cases));
+	tcase_add_loop_test(tcase, test_routes, 0, COUNT(route_cases));
+	tcase_add_test(tcase, test_configuration);
+	tcase_add_loop_test(tcase, test_choice, 0, COUNT(choice_cases));
+	tcase_add_test(tcase, test_target_starts_again);
+	tcase_add_test(tcase, test_cold_target);
+	tcase_add_loop_test(tcase, test_reply_head, 0, COUNT(reply_cases));
+	tcase_add_loop_test(tcase, test_kept_headers, 0, COUNT(keep_cases));
+	tcase_add_loop_test(tcase, test_time_left, 0, COUNT(time_cases));
+}
+
+int main(void)
+{
+	return suite_run("parts", add);
+}
--- /dev/null
+++ b/tests/check_platform.c
@@ -0,0 +1,244 @@
+/*
+ * All bytes that the platform sends: settings, replies of the store, values of
+ * its keys. What is malformed gets an error that names the place, and one bad
+ * entry disturbs nothing else.
+ */
+#include <stdio.h>
+
+#include <check.h>
+
+#include "../platform/platform.h"
+#include "suite.h"
+
+/** struct input - a text, and what its error names (NULL: accepted) */
+struct input {
+	const char *text;
+	const char *names;
+};
+
+static apr_pool_t *pool;
+
+static void make_pool(void)
+{
+	apr_pool_create(&pool, NULL);
+}
+
+static void drop_pool(void)
+{
+	apr_pool_destroy(pool);
+}
+
+static void check_error(const struct input *in, int code, int want,
+			const struct error *err)
+{
+	if (!in->names) {
+		ck_assert_msg(!code, "%s", err->text);
+		return;
+	}
+	ck_assert_int_eq(code, want);
+	ck_assert_msg(strstr(err->text, in->names) != NULL,
+		      "\"%s\" does not name \"%s\"", err->text, in->names);
+}
+
+#define HEAD \
+	"\"node_name\":\"n\",\"ip\":\"10.1.0.9\",\"zone\":\"z\"," \
+	"\"internal_ports\":[7380,7395],"
+#define LISTEN "\"listen\":{\"front\":\"10.1.0.9:1\",\"ready\":\"10.1.0.9:2\"},"
+#define STORE "\"platform\":{\"addr\":\"10.2.0.1:3\"}"
+
+static const struct input settings[] = {
+	{ "{" HEAD LISTEN STORE "}", NULL },
+	{ "{" HEAD LISTEN STORE ",\"new\":{\"field\":1}}", NULL },
+	{ "{" HEAD LISTEN STORE ",\"seeds\":[\"10.1.0.9:6\",7,\"x\"]}", NULL },
+	{ "{" HEAD LISTEN STORE ",\"bounds\":{\"grace_s\":6.5}}", NULL },
+	{ "{" HEAD LISTEN "\"platform\":{}}", "addr" },
+	{ "{" HEAD STORE "}", "front" },
+	{ "{" LISTEN STORE "}", "node_name" },
+	{ "{\"node_name\":\"n\",\"ip\":\"1.1.1.1\",\"zone\":\"z\"," LISTEN STORE
+	  "}",
+	  "internal_ports" },
+	{ "{" HEAD LISTEN STORE, "line" },
+	{ "[]", "node_name" },
+	{ "", "line" },
+};
+
+START_TEST(test_settings)
+{
+	struct error err = { 0 };
+	struct vm_settings got;
+	int code =
+		platform_settings(str_of(settings[_i].text), &got, pool, &err);
+
+	check_error(&settings[_i], code, ERR_SETTINGS, &err);
+	if (!code)
+		ck_assert_uint_eq(got.peer_port, 7380);
+}
+END_TEST
+
+static const struct input pages[] = {
+	{ "{\"items\":[],\"has_more\":false,\"as_of\":5}", NULL },
+	{ "{\"items\":[{\"key\":\"a\",\"value\":\"Yg==\",\"revision\":3}],"
+	  "\"as_of\":5}",
+	  NULL },
+	{ "{\"items\":[{\"key\":\"a\",\"revision\":3}],\"as_of\":5}",
+	  "item 0" },
+	{ "{\"items\":[{\"value\":\"Yg==\",\"revision\":3}],\"as_of\":5}",
+	  "item 0" },
+	{ "{\"items\":[7],\"as_of\":5}", "item 0" },
+	{ "{\"items\":{},\"as_of\":5}", "items" },
+	{ "{\"items\":[]}", "items" },
+	{ "{\"items\":[],\"as_of\":\"5\"}", "items" },
+	{ "not json", "line" },
+	{ "", "line" },
+};
+
+START_TEST(test_pages)
+{
+	struct error err = { 0 };
+	struct store_reply got;
+	int code =
+		platform_range_reply(str_of(pages[_i].text), &got, pool, &err);
+
+	check_error(&pages[_i], code, ERR_MALFORMED, &err);
+}
+END_TEST
+
+START_TEST(test_changes)
+{
+	static const char text[] =
+		"{\"events\":[{\"key\":\"a\",\"value\":\"bm9kZS0x\","
+		"\"revision\":7},{\"key\":\"b\",\"revision\":8,"
+		"\"tombstone\":true}],\"as_of\":9}";
+	struct error err = { 0 };
+	struct store_reply got;
+
+	ck_assert_int_eq(platform_watch_reply(STR(text), &got, pool, &err), 0);
+	ck_assert_uint_eq(got.count, 2);
+	ck_assert_uint_eq(got.revision, 9);
+	ck_assert(str_eq(got.items[0].value, STR("node-1")));
+	ck_assert(!got.items[0].deleted);
+	ck_assert(got.items[1].deleted);
+}
+END_TEST
+
+#define ENTRY(more) \
+	"{\"service\":\"s\",\"addr\":\"10.0.0.1:80\",\"zone\":\"z\"," \
+	"\"version\":\"v1\",\"slots\":2,\"cold_left_ms\":0" more "}"
+
+static const struct input entries[] = {
+	{ ENTRY(",\"state\":\"ready\",\"seq\":4"), NULL },
+	{ ENTRY(",\"state\":\"draining\",\"seq\":4,\"born\":1700000000000"),
+	  NULL },
+	{ ENTRY(",\"state\":\"ready\",\"seq\":4,\"other\":[1]"), NULL },
+	{ ENTRY(",\"state\":\"asleep\",\"seq\":4"), "state" },
+	{ ENTRY(",\"state\":7,\"seq\":4"), "state" },
+	{ ENTRY(",\"state\":\"ready\""), "seq" },
+	{ ENTRY(",\"state\":\"ready\",\"seq\":\"4\""), "seq" },
+	{ ENTRY(",\"state\":\"ready\",\"seq\":4,\"born\":1.5"), "born" },
+	{ "{\"service\":\"s\",\"addr\":\"here\",\"zone\":\"z\","
+	  "\"version\":\"v1\",\"slots\":2,\"state\":\"ready\",\"seq\":1}",
+	  "addr" },
+	{ "{\"service\":\"s\",\"addr\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"version\":\"v1\",\"slots\":0,\"state\":\"ready\",\"seq\":1}",
+	  "slots" },
+	{ "{\"service\":\"s\"}", "state" },
+	{ "\xff\xfe", "line" },
+	{ "", "line" },
+	{ "7", "line" },
+};
+
+START_TEST(test_entries)
+{
+	struct error err = { 0 };
+	struct fact fact;
+	int code = platform_decode(STR("servers/i-1"), str_of(entries[_i].text),
+				   &fact, pool, &err);
+
+	check_error(&entries[_i], code, ERR_LIST, &err);
+	ck_assert_int_eq(fact.kind, FACT_TARGET);
+	if (!code)
+		ck_assert(str_eq(fact.target.id, STR("i-1")));
+}
+END_TEST
+
+static const struct input configs[] = {
+	{ "{\"version\":1,\"routes\":[],\"services\":[],\"limits\":{}}", NULL },
+	{ "{\"version\":1,\"routes\":[],\"services\":[]}", NULL },
+	{ "{\"routes\":[],\"services\":[]}", "version" },
+	{ "{\"version\":1,\"services\":[]}", "routes" },
+	{ "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+	  "\"prefix\":\"/\",\"kind\":\"idempotent\"}],\"services\":[]}",
+	  "nowhere" },
+	{ "{\"version\":1,\"routes\":[{}],\"services\":[]}", "kind" },
+	{ "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\"}]}",
+	  "health_path" },
+	{ "{\"version\":1,\"version\":2,\"routes\":[],\"services\":[]}",
+	  "line" },
+	{ "{", "line" },
+};
+
+START_TEST(test_configs)
+{
+	struct error err = { 0 };
+	struct fact fact;
+	int code = platform_decode(STR("op/config"), str_of(configs[_i].text),
+				   &fact, pool, &err);
+
+	check_error(&configs[_i], code, ERR_LIST, &err);
+	ck_assert_int_eq(fact.catalog == NULL, code != 0);
+	catalog_unref(fact.catalog);
+}
+END_TEST
+
+struct key_case {
+	const char *key;
+	enum fact_kind kind;
+};
+
+static const struct key_case keys[] = {
+	{ "op/config", FACT_CATALOG },	      { "op/configs", FACT_NONE },
+	{ "op/evacuate/z", FACT_DOMAIN_OUT }, { "op/evacuate/", FACT_NONE },
+	{ "servers/i-1", FACT_TARGET },	      { "servers/", FACT_NONE },
+	{ "my/leader", FACT_NONE },	      { "", FACT_NONE },
+};
+
+START_TEST(test_keys)
+{
+	ck_assert_int_eq(platform_fact_kind(str_of(keys[_i].key)),
+			 keys[_i].kind);
+}
+END_TEST
+
+START_TEST(test_uris)
+{
+	struct buf uri = { 0 };
+
+	platform_range_uri(STR("op/"), STR("op/config"), &uri);
+	ck_assert(str_eq(buf_str(&uri),
+			 STR("/kv-range?prefix=op/&after=op/config")));
+	uri.len = 0;
+	platform_watch_uri(12, 1200000, &uri);
+	ck_assert(str_eq(buf_str(&uri),
+			 STR("/kv-watch?prefix=&after=12&wait_ms=1200")));
+	buf_free(&uri);
+}
+END_TEST
+
+#define COUNT(table) ((int)(sizeof(table) / sizeof(*(table))))
+
+static void add(TCase *tcase)
+{
+	tcase_add_checked_fixture(tcase, make_pool, drop_pool);
+	tcase_add_loop_test(tcase, test_settings, 0, COUNT(settings));
+	tcase_add_loop_test(tcase, test_pages, 0, COUNT(pages));
+	tcase_add_test(tcase, test_changes);
+	tcase_add_loop_test(tcase, test_entries, 0, COUNT(entries));
+	tcase_add_loop_test(tcase, test_configs, 0, COUNT(configs));
+	tcase_add_loop_test(tcase, test_keys, 0, COUNT(keys));
+	tcase_add_test(tcase, test_uris);
+}
+
+int main(void)
+{
+	return suite_run("platform", add);
+}
--- a/tests/run.py
+++ b/tests/run.py
@@ -22,6 +22,7 @@
 import process  # noqa: E402  (needs BUILD)
 
 FUZZ_SEEDS = "24"
+TIER_SEEDS = "200"
 SAFEGUARDS = {  # turned off: what the fuzzing must then say
     "no_ramp": "a cold target fell over",
     "no_version_check": "rows of two snapshots",
@@ -90,10 +91,13 @@
 
 
 def jobs():
-    for name in ("check-points", "check-input", "check-fetch"):
+    for name in ("check-points", "check-input", "check-fetch", "check-tier",
+                 "check-parts", "check-platform"):
         yield name, lambda n=name: run_check(n)
     yield "fuzz", lambda: run_program(
         "fuzz", f"{BUILD}/tests/fuzz", "1", FUZZ_SEEDS)
+    yield "fuzz-tier", lambda: run_program(
+        "fuzz-tier", f"{BUILD}/tests/fuzz-tier", "1", TIER_SEEDS)
     for name, fault in SAFEGUARDS.items():
         title = f"fuzz finds {name}"
         yield title, lambda n=name, f=fault, t=title: run_safeguard(t, n, f)
