--- a/batch.c
+++ b/batch.c
@@ -66,6 +66,7 @@
 	call->batches = batch;
 	apr_hash_set(calls->batches->open, &batch->id, sizeof(batch->id),
 		     batch);
+	metric_add(&calls->notes->metrics, METRIC_BATCHES);
 	member->open++;
 	if (!member->unheard_since)
 		member->unheard_since = calls->now;
--- a/call.c
+++ b/call.c
@@ -160,6 +160,7 @@
 	struct flow_effect *fx = flow_add(calls->fx, FLOW_CANCEL);
 
 	fx->id = attempt->id;
+	metric_add(&calls->notes->metrics, METRIC_CUT);
 	roster_answered(calls->roster, attempt->target, REPLY_DROPPED,
 			attempt->sent_at, calls->now);
 	apr_hash_set(calls->attempts, &attempt->id, sizeof(attempt->id), NULL);
@@ -209,10 +210,15 @@
 	target = roster_choose(calls->roster, &choice);
 	if (!target)
 		return SEND_NO_TARGET;
-	if (!p->ntried && !p->again)
+	if (!p->ntried && !p->again) {
 		budget_first(calls->budget, p->service, calls->now);
-	else if (!budget_take(calls->budget, p->service, calls->now))
+		metric_add(&calls->notes->metrics, METRIC_SENT);
+	} else if (budget_take(calls->budget, p->service, calls->now)) {
+		metric_add(&calls->notes->metrics, METRIC_SENT_AGAIN);
+	} else {
+		metric_add(&calls->notes->metrics, METRIC_NO_BUDGET);
 		return SEND_NO_BUDGET;
+	}
 	attempt_start(calls, call, part, target);
 	return SEND_DONE;
 }
@@ -256,6 +262,9 @@
 	free(attempt);
 	if (call && judge(reply) != REPLY_GOOD)
 		note_tried(calls->notes, calls->now, call, &copy, reply);
+	if (judge(reply) == REPLY_GOOD)
+		metric_latency(&calls->notes->metrics, LATENCY_TARGET,
+			       calls->now - copy.sent_at);
 	if (reply->cold_us > 0)
 		copy.target->cold_until = calls->now + reply->cold_us;
 	roster_answered(calls->roster, copy.target, judge(reply), copy.sent_at,
--- a/command.c
+++ b/command.c
@@ -1,5 +1,6 @@
 #include "command.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -10,6 +11,7 @@
 #include "config.h"
 #include "doc.h"
 #include "edge.h"
+#include "explain.h"
 #include "log.h"
 #include "platform/platform.h"
 #include "serve.h"
@@ -439,6 +441,65 @@
 	return code;
 }
 
+/* explain */
+
+static void explain_file(struct explain *explain, FILE *file)
+{
+	char *line = NULL;
+	size_t cap = 0;
+	ssize_t len;
+
+	while ((len = getline(&line, &cap, file)) > 0)
+		explain_line(explain, (struct str){ line, (size_t)len });
+	free(line);
+}
+
+static int explain_files(struct explain *explain, const struct arg_file *files)
+{
+	if (!files->count)
+		explain_file(explain, stdin);
+	for (int i = 0; i < files->count; i++) {
+		FILE *file = fopen(files->filename[i], "r");
+
+		if (!file) {
+			struct error err;
+
+			error_set(&err, ERR_IO, "%s: %s", files->filename[i],
+				  strerror(errno));
+			print_error(&err);
+			return EXIT_FAILED;
+		}
+		explain_file(explain, file);
+		fclose(file);
+	}
+	return EXIT_OK;
+}
+
+static int run_explain(int argc, char **argv)
+{
+	struct arg_str *id = arg_str1(NULL, NULL, "ID", "id of the request");
+	struct arg_file *files =
+		arg_filen(NULL, NULL, "LOG", 0, 1000,
+			  "logs of nodes; standard input when there is none");
+	void *table[] = { help_arg(), id, files, arg_end(MAX_ERRORS) };
+	int code = parse_args(argc, argv, table,
+			      "Gather a request's lines and say its cause.");
+
+	if (code < 0) {
+		struct explain *explain = explain_create(str_of(id->sval[0]));
+		struct buf out = { 0 };
+
+		code = explain_files(explain, files);
+		if (code == EXIT_OK && !explain_text(explain, &out))
+			code = EXIT_PARTIAL;
+		printf("%.*s", (int)out.len, out.ptr ? out.ptr : "");
+		buf_free(&out);
+		explain_destroy(explain);
+	}
+	ARGS_FREE(table);
+	return code;
+}
+
 static int run_version(int argc, char **argv)
 {
 	(void)argc;
@@ -456,6 +517,7 @@
 	{ "audit", "show a node's audit trail", run_audit },
 	{ "counters", "show a node's counters", run_counters },
 	{ "drain", "begin the planned stop of a node", run_drain },
+	{ "explain", "say the cause of a request's failure", run_explain },
 	{ "version", "show the version", run_version },
 };
 
--- a/edge.c
+++ b/edge.c
@@ -29,6 +29,8 @@
 	SETTINGS_LOOK_US = 1000000,
 	/* What is answered last may still be on its way to the sockets. */
 	FLUSH_US = 1500000,
+	/* Much may have come in during a round of this length. */
+	LONG_ROUND_US = 2000,
 	/* Callers notice a round of this length; told of once a second. */
 	SLOW_ROUND_US = 15000,
 	SLOW_TOLD_US = 1000000,
@@ -56,6 +58,7 @@
 	enum store_call store_call;
 	uint64_t store_id;
 	bool ready;
+	bool tick_put_off;
 	int events[FLOW_EVENTS];
 	int64_t slow_told_at;
 	int signal_fd;
@@ -100,8 +103,8 @@
 		if (code)
 			LOG_WARN("%s; %s", err.text, error_info(code)->remedy);
 	} else {
-		LOG_INFO("store: result %d, status %d", (int)reply->result,
-			 reply->status);
+		LOG_DBG("store: result %d, status %d", (int)reply->result,
+			reply->status);
 	}
 	feed(edge, (struct flow_event){ .type = FLOW_STORE, .store = &store });
 	apr_pool_destroy(pool);
@@ -429,13 +432,28 @@
 	memset(edge->events, 0, sizeof(edge->events));
 }
 
+/*
+ * After a long round replies wait unread that came during it; they are taken
+ * in first, so that nothing is judged late which is there. Once only, as a
+ * busy node would else never look at its timers.
+ */
+static bool has_unread(struct edge *edge, int64_t now)
+{
+	bool wait = !edge->tick_put_off &&
+		    now - loop_round_at(edge->loop) > LONG_ROUND_US;
+
+	edge->tick_put_off = wait;
+	return wait;
+}
+
 static void on_round(void *ctx)
 {
 	struct edge *edge = ctx;
 	int64_t now = loop_now();
 
-	if (now >= tier_wake_at(edge->tier))
+	if (now >= tier_wake_at(edge->tier) && !has_unread(edge, now))
 		feed(edge, (struct flow_event){ .type = FLOW_TICK });
+	log_flush();
 	look_at_settings(edge, now);
 	tell_slow_round(edge);
 }
@@ -507,6 +525,7 @@
 
 	if (code)
 		return code;
+	log_node(edge->settings.name);
 	code = listen_all(edge, opt->metrics_port, tier.incarnation, err);
 	if (code)
 		return code;
--- /dev/null
+++ b/metric.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <stdint.h>
+
+#include "str.h"
+
+/**
+ * DOC: counters and latency histograms of the tier
+ *
+ * All start at 0 with the process and only go up. Served as text in the format
+ * of Prometheus; docs/OPERATIONS.md says what each is for.
+ */
+
+/** enum metric - counters; names and help in metric.c */
+enum metric {
+	METRIC_ANSWERED,
+	METRIC_PARTIAL,
+	METRIC_LATE,
+	METRIC_REFUSED, /* "not run", with the time to come back */
+	METRIC_GAVE_UP,
+	METRIC_CALLERS_GONE,
+	METRIC_SENT,
+	METRIC_SENT_AGAIN,
+	METRIC_NO_BUDGET,
+	METRIC_NOT_RUN,
+	METRIC_FAILED,
+	METRIC_CUT,
+	METRIC_BATCHES,
+	METRIC_BATCHES_BACK,
+	METRIC_STORE_CALLS,
+	METRIC_STORE_FAILED,
+	METRICS,
+};
+
+/** enum latency_kind - histograms */
+enum latency_kind {
+	LATENCY_MERGED, /* questions over shards, from arrival to answer */
+	LATENCY_FORWARDED, /* requests to one target, likewise */
+	LATENCY_TARGET, /* good replies of targets, from sending */
+	LATENCY_KINDS,
+};
+
+enum {
+	LATENCY_BOUNDS = 14,
+};
+
+/** struct histogram - @below[i]: values up to the bound i, not summed up */
+struct histogram {
+	uint64_t below[LATENCY_BOUNDS + 1];
+	uint64_t count;
+	uint64_t sum_us;
+};
+
+struct metrics {
+	uint64_t counters[METRICS];
+	struct histogram latencies[LATENCY_KINDS];
+};
+
+static inline void metric_add(struct metrics *metrics, enum metric metric)
+{
+	metrics->counters[metric]++;
+}
+
+void metric_latency(struct metrics *metrics, enum latency_kind kind,
+		    int64_t us);
+/** metrics_text() - append all of them. */
+void metrics_text(const struct metrics *metrics, struct buf *out);
+/** metric_gauge() - append one value that goes up and down. */
+void metric_gauge(struct buf *out, const char *name, const char *help,
+		  uint64_t value);
--- a/note.c
+++ b/note.c
@@ -5,6 +5,7 @@
 	/* A line costs some 30 us of a small core: 40 are a thousandth of it.
 	 */
 	LINES_A_SECOND = 40,
+	WAITS_TOLD = 3,
 };
 
 static const char *const kind_names[NOTE_KINDS] = {
@@ -77,22 +78,57 @@
 			   call->ndone);
 }
 
+/* Whose replies it did not wait for; the first few say enough. */
+static void add_waits(struct buf *line, int64_t now, const struct call *call)
+{
+	int told = 0;
+
+	for (const struct attempt *at = call->attempts;
+	     at && told < WAITS_TOLD; at = at->next, told++) {
+		buf_str_add(line, told ? STR(",") : STR(",\"waits_for\":["));
+		buf_str_add(line, STR("{\"target\":"));
+		buf_json_add(line, at->target->id);
+		buf_printf(line, ",\"for_ms\":%.1f}",
+			   (double)(now - at->sent_at) / 1000);
+	}
+	if (told)
+		buf_str_add(line, STR("]"));
+}
+
+static void count_final(struct note_book *notes, int64_t us,
+			const struct call *call, const struct final *final)
+{
+	struct metrics *metrics = &notes->metrics;
+
+	metric_latency(metrics,
+		       final->merged ? LATENCY_MERGED : LATENCY_FORWARDED, us);
+	if (final->status == 503) {
+		metric_add(metrics, METRIC_REFUSED);
+	} else if (final->status / 100 != 2) {
+		metric_add(metrics, METRIC_GAVE_UP);
+	} else {
+		metric_add(metrics, METRIC_ANSWERED);
+		if (final->missing)
+			metric_add(metrics, METRIC_PARTIAL);
+		if (us > call->route->goal_us)
+			metric_add(metrics, METRIC_LATE);
+	}
+}
+
 void note_final(struct note_book *notes, int64_t now, const struct call *call,
 		const struct final *final)
 {
 	struct buf line = { 0 };
 	bool late = now - call->start > call->route->goal_us;
 
-	notes->finals[final->status / 100 % 6]++;
-	if (final->missing)
-		notes->partial++;
-	latency_add(&notes->latency, now - call->start);
+	count_final(notes, now - call->start, call, final);
 	if (final->status / 100 == 2 && !late && !final->missing)
 		return;
 	if (!admit(notes, now, NOTE_FINAL))
 		return;
 	begin(notes, &line, now, NOTE_FINAL);
 	add_call(&line, now, call);
+	add_waits(&line, now, call);
 	buf_printf(&line, ",\"status\":%d,\"why\":\"%s\"}", final->status,
 		   final->why);
 	put(notes, &line);
@@ -102,12 +138,16 @@
 {
 	struct buf line = { 0 };
 
-	notes->finals[0]++;
+	/* Shards that another node no longer wants are no caller's. */
+	if (!call->asker.len)
+		metric_add(&notes->metrics, METRIC_CALLERS_GONE);
 	if (!admit(notes, now, NOTE_FINAL))
 		return;
 	begin(notes, &line, now, NOTE_FINAL);
 	add_call(&line, now, call);
-	buf_printf(&line, ",\"why\":\"the caller closed\"}");
+	buf_printf(&line, ",\"why\":\"%s\"}",
+		   call->asker.len ? "the asking node has its answer"
+				   : "the caller closed");
 	put(notes, &line);
 }
 
@@ -123,6 +163,8 @@
 	};
 	struct buf line = { 0 };
 
+	metric_add(&notes->metrics,
+		   reply->not_run ? METRIC_NOT_RUN : METRIC_FAILED);
 	if (!admit(notes, now, NOTE_TRIED))
 		return;
 	begin(notes, &line, now, NOTE_TRIED);
@@ -147,6 +189,7 @@
 {
 	struct buf line = { 0 };
 
+	metric_add(&notes->metrics, METRIC_BATCHES_BACK);
 	if (!admit(notes, now, NOTE_TRIED))
 		return;
 	begin(notes, &line, now, NOTE_TRIED);
--- a/note.h
+++ b/note.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call.h"
+#include "metric.h"
 
 /**
  * DOC: what a node decided, for the log
@@ -18,7 +19,7 @@
 };
 
 /**
- * struct note_book - bounds, and what the lines tell of
+ * struct note_book - bounds, what the lines tell of, and what is counted
  * @version: of the configuration in force
  * @revision, @read_at: of the store, and when it was last heard of
  */
@@ -30,11 +31,7 @@
 	uint64_t version;
 	uint64_t revision;
 	int64_t read_at;
-	int64_t now;
-	uint64_t finals[6]; /* by hundreds of the status; 0: callers gone */
-	uint64_t partial;
-	uint64_t extra;
-	struct latency latency;
+	struct metrics metrics;
 };
 
 /** note_final() - the last word; good answers in time are counted only. */
--- a/reader.c
+++ b/reader.c
@@ -39,6 +39,7 @@
 	const struct dialect *dialect = reader->dir->dialect;
 	struct flow_effect *fx = flow_add(reader->fx, FLOW_READ);
 
+	metric_add(&reader->dir->notes->metrics, METRIC_STORE_CALLS);
 	reader->state = READER_RANGE;
 	fx->read = STORE_RANGE;
 	fx->prefix = dialect->prefixes[reader->prefix];
@@ -50,6 +51,7 @@
 {
 	struct flow_effect *fx = flow_add(reader->fx, FLOW_READ);
 
+	metric_add(&reader->dir->notes->metrics, METRIC_STORE_CALLS);
 	reader->state = READER_WATCH;
 	fx->read = STORE_WATCH;
 	fx->revision = reader->dir->revision;
@@ -100,6 +102,7 @@
 {
 	int64_t pause = PAUSE_US;
 
+	metric_add(&reader->dir->notes->metrics, METRIC_STORE_FAILED);
 	if (!reader->failures++)
 		note_belief(reader->dir->notes, now, "store lost", STR("store"),
 			    "a call failed", reader->dir->revision);
--- a/serve.c
+++ b/serve.c
@@ -212,6 +212,7 @@
 		peers_flush(s->peers);
 	}
 	effects_clear(&s->fx);
+	log_flush();
 }
 
 static int64_t wait_us(void *ctx)
--- a/tier.c
+++ b/tier.c
@@ -114,7 +114,8 @@
 	fx->headers = STR("Content-Type: application/json\r\n");
 	fx->body = str_dup(tier->fx->pool, buf_str(&body));
 	fx->retry_after_us = retry_after_us;
-	tier->notes.finals[status / 100]++;
+	if (status == 503)
+		metric_add(&tier->notes.metrics, METRIC_REFUSED);
 	buf_free(&body);
 }
 
@@ -349,22 +350,21 @@
 
 void tier_metrics(const struct tier *tier, struct buf *out)
 {
-	static const char *const names[] = { "gone", "1xx", "2xx",
-					     "3xx",  "4xx", "5xx" };
-	const struct note_book *notes = &tier->notes;
-
-	for (int i = 0; i < 6; i++)
-		buf_printf(out,
-			   "wasabimoor_answers_total{status=\"%s\"} %llu\n",
-			   names[i], (unsigned long long)notes->finals[i]);
-	buf_printf(out, "wasabimoor_partial_total %llu\n",
-		   (unsigned long long)notes->partial);
-	buf_printf(out, "wasabimoor_open_calls %zu\n", tier->calls.nopen);
-	buf_printf(out, "wasabimoor_targets %zu\n", roster_count(tier->roster));
-	buf_printf(out, "wasabimoor_configuration_version %llu\n",
-		   (unsigned long long)notes->version);
-	buf_printf(out, "wasabimoor_latency_us{quantile=\"0.5\"} %lld\n",
-		   (long long)latency_quantile(&notes->latency, 0.5));
-	buf_printf(out, "wasabimoor_latency_us{quantile=\"0.99\"} %lld\n",
-		   (long long)latency_quantile(&notes->latency, 0.99));
+	const struct directory *dir = &tier->dir;
+
+	metrics_text(&tier->notes.metrics, out);
+	metric_gauge(out, "open_calls", "requests without an answer",
+		     tier->calls.nopen);
+	metric_gauge(out, "targets", "targets in the table",
+		     roster_count(tier->roster));
+	metric_gauge(out, "nodes", "nodes that share bounds with this one",
+		     (uint64_t)dir->nodes);
+	metric_gauge(out, "configuration_version", "in force",
+		     dir->catalog ? dir->catalog->version : 0);
+	metric_gauge(out, "store_revision", "that this node knows",
+		     dir->revision);
+	metric_gauge(out, "store_age_ms",
+		     "since the store, or a reader of it, was heard of",
+		     (uint64_t)(tier->calls.now - dir->read_at) / 1000);
+	metric_gauge(out, "ready", "callers may be sent here", tier->ready);
 }
