--- a/batch.c
+++ b/batch.c
@@ -11,6 +11,8 @@
 	HOP_US = 3000,
 	/* A node that did not answer gets no shards for this long. */
 	REST_US = 500000,
+	/* Time for the first word of a node that was asked as the second. */
+	SILENT_LEAST_US = 25000,
 	/* Without any word this long after a question its connection is dead.
 	 */
 	SILENT_US = 150000,
@@ -49,7 +51,7 @@
 
 void batch_send(struct calls *calls, struct call *call,
 		struct member_info *member, const uint16_t *parts,
-		size_t nparts, bool may_hand_on)
+		size_t nparts, bool may_hand_on, size_t tried)
 {
 	struct flow_effect *fx = tell(calls, member->addr, 0, MSG_ASK);
 	struct batch *batch = apr_pcalloc(call->pool, sizeof(*batch));
@@ -74,6 +76,7 @@
 	fx->msg.id = batch->id;
 	fx->msg.version = call->catalog->version;
 	fx->msg.state = may_hand_on;
+	fx->msg.attempt = (uint32_t)tried;
 	fx->msg.remaining_us = call->give_up_at - calls->now;
 	fx->msg.wait_us = calls->now - call->start + HOP_US;
 	fx->msg.body = str_dup(calls->fx->pool, buf_str(&body));
@@ -155,7 +158,7 @@
 	const struct member_info *member =
 		gossip_find(calls->batches->gossip, batch->addr);
 
-	if (batch->replied)
+	if (batch->replied || calls->now - batch->sent_at < SILENT_LEAST_US)
 		return false;
 	return !member || (member->unheard_since &&
 			   member->unheard_since <= batch->sent_at);
@@ -342,6 +345,8 @@
 	call->wanted = apr_palloc(call->pool, msg->name.len + 1);
 	memcpy(call->wanted, msg->name.ptr, msg->name.len);
 	call->may_hand_on = msg->state;
+	call->tried =
+		msg->attempt < CALL_TRIES_MAX ? msg->attempt : CALL_TRIES_MAX;
 	call->kind = calls->shards_kind;
 	call->kind->begin(calls, call);
 	apr_pool_destroy(pool);
--- a/call.h
+++ b/call.h
@@ -86,7 +86,9 @@
  * @review_at: next review; 0 when none is planned
  * @wanted, @nwanted: shards that @asker wants; all of them for a caller
  * @may_hand_on: @asker handed over a whole question, far shards included
+ * @tried: targets of each shard that @asker, or a node it asked, may have had
  * @batches: shards that other nodes were asked for
+ * @handed: times that a whole question was handed over
  * @over: it has ended; freed once all effects are carried out
  * @state: of its kind
  */
@@ -111,7 +113,9 @@
 	uint16_t *wanted;
 	size_t nwanted;
 	bool may_hand_on;
+	size_t tried;
 	struct batch *batches;
+	int handed;
 	bool over;
 	void *state;
 	struct call *next_dead;
--- a/merge.c
+++ b/merge.c
@@ -18,6 +18,8 @@
 	RETRY_AFTER_US = 300000,
 	/* The way back to the caller, and what a busy core needs to answer. */
 	RETURN_US = 12000,
+	/* Nodes that refuse, as they have another version, are not asked on. */
+	HANDED_MOST = 2,
 	/* Word to the asking node may be under way this long. */
 	TELL_SAFE_US = 6000,
 	/* A message to another node costs as much as a request to a target. */
@@ -303,13 +305,16 @@
 
 static void hand_over(struct calls *calls, struct call *call,
 		      struct member_info *member, const uint16_t *parts,
-		      size_t nparts)
+		      size_t nparts, size_t tried)
 {
-	bool whole = nparts == call->nparts && !call->asker.len;
+	bool whole = !call->asker.len &&
+		     !spread_here(calls->batches->spread, call->catalog,
+				  call->route, calls->now);
 
+	call->handed += whole;
 	for (size_t i = 0; i < nparts; i++)
 		call->parts[parts[i]].batched = true;
-	batch_send(calls, call, member, parts, nparts, whole);
+	batch_send(calls, call, member, parts, nparts, whole, tried);
 }
 
 /* Shards whose best target is in @domain, and that nobody has yet. */
@@ -370,7 +375,7 @@
 		if (!member)
 			return;
 		count = collect(calls, call, domain, parts);
-		hand_over(calls, call, member, parts, count);
+		hand_over(calls, call, member, parts, count, call->tried);
 	}
 }
 
@@ -405,10 +410,18 @@
 	parts = apr_palloc(call->pool, (call->nparts + 1) * sizeof(*parts));
 	for (size_t i = 0; i < call->nparts; i++)
 		parts[i] = (uint16_t)i;
-	hand_over(calls, call, member, parts, call->nparts);
+	hand_over(calls, call, member, parts, call->nparts, 0);
 	return true;
 }
 
+/* Targets that other nodes asked: not known by name, only that they count. */
+static void mark_tried(struct part *part, size_t tried)
+{
+	part->again = tried > 0;
+	while (part->ntried < tried)
+		part->tried[part->ntried++] = 0;
+}
+
 static void prepare(struct calls *calls, struct call *call)
 {
 	const struct route *route = call->route;
@@ -429,6 +442,8 @@
 	for (size_t i = 0; i < call->nparts; i++)
 		call->parts[i].service =
 			route->shards[call->wanted ? call->wanted[i] : i];
+	for (size_t i = 0; i < call->nparts; i++)
+		mark_tried(&call->parts[i], call->tried);
 }
 
 static void begin(struct calls *calls, struct call *call)
@@ -514,19 +529,39 @@
 	settle(calls, call);
 }
 
+/*
+ * A small VM that merges by itself takes longer than the goal. It hands the
+ * shards to another merging node once more. Return: false where it may not.
+ */
+static bool hand_over_again(struct calls *calls, struct call *call,
+			    const uint16_t *parts, size_t nparts, size_t tried)
+{
+	struct spread *spread = calls->batches->spread;
+	struct member_info *member;
+
+	if (call->asker.len || nparts < BATCH_LEAST ||
+	    call->handed >= HANDED_MOST ||
+	    (int)tried >= call->route->attempts ||
+	    spread_here(spread, call->catalog, call->route, calls->now))
+		return false;
+	member = spread_choose(spread, call->catalog, call->route, 0,
+			       calls->now);
+	if (!member)
+		return false;
+	hand_over(calls, call, member, parts, nparts, tried);
+	return true;
+}
+
 static void batch_failed(struct calls *calls, struct call *call,
 			 const uint16_t *parts, size_t nparts, size_t tried)
 {
 	for (size_t i = 0; i < nparts; i++) {
-		struct part *part = &call->parts[parts[i]];
-
-		part->batched = false;
-		part->again = tried > 0;
-		/* Their names are not known here, only that they count. */
-		while (part->ntried < tried)
-			part->tried[part->ntried++] = 0;
-		send_again(calls, call, parts[i]);
+		call->parts[parts[i]].batched = false;
+		mark_tried(&call->parts[parts[i]], tried);
 	}
+	if (!hand_over_again(calls, call, parts, nparts, tried))
+		for (size_t i = 0; i < nparts; i++)
+			send_again(calls, call, parts[i]);
 	if (!settle(calls, call))
 		plan_review(calls, call);
 }
--- a/msg.h
+++ b/msg.h
@@ -22,7 +22,8 @@
  * on where @state says so; @wait_us is since the store was lost; ITEMS_GET
  * asks for those after @version. ASK has another node merge a question, @body
  * is the request, @name the indexes of shards in the configuration @version,
- * @state whether far ones may be handed on; ASK_REPLY brings records in @body,
+ * @state whether far ones may be handed on, @attempt targets of each that were
+ * tried; ASK_REPLY brings records in @body,
  * signatures in @text of the shards in @name, @state when it is the last.
  */
 enum msg_kind {
--- a/note.c
+++ b/note.c
@@ -83,8 +83,8 @@
 {
 	int told = 0;
 
-	for (const struct attempt *at = call->attempts;
-	     at && told < WAITS_TOLD; at = at->next, told++) {
+	for (const struct attempt *at = call->attempts; at && told < WAITS_TOLD;
+	     at = at->next, told++) {
 		buf_str_add(line, told ? STR(",") : STR(",\"waits_for\":["));
 		buf_str_add(line, STR("{\"target\":"));
 		buf_json_add(line, at->target->id);
--- /dev/null
+++ b/soak/standins.py
@@ -0,0 +1,236 @@
+"""Stand-ins for the platform's store and for targets, on loopback.
+
+They speak the platform's protocol as far as nodes use it, and keep the books
+that the soak judges by. Faults are fields that the driver sets.
+"""
+
+import asyncio
+import base64
+import hashlib
+import json
+import random
+import time
+
+RECORD = 16
+RECORDS = 3
+
+
+async def read_head(reader):
+    """First line and headers (lower case), or None at the end."""
+    try:
+        raw = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError,
+            asyncio.LimitOverrunError):
+        return None
+    lines = raw.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if value:
+            headers[name.strip().lower()] = value.strip()
+    return lines[0], headers
+
+
+async def read_body(reader, headers):
+    return await reader.readexactly(int(headers.get("content-length", 0)))
+
+
+def message(status, headers, body):
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
+    head += "".join(f"{k}: {v}\r\n" for k, v in headers.items())
+    return head.encode() + b"\r\n" + body
+
+
+def part_records(leaf, request_id):
+    """What a target answers for its shard, known to the judge as well."""
+    seed = f"{leaf}/{request_id}".encode()
+    return [hashlib.md5(seed + bytes([i])).digest() for i in range(RECORDS)]
+
+
+class Store:
+    """Keys with revisions; ranges, and calls that wait for changes."""
+
+    def __init__(self):
+        self.keys = {}
+        self.revision = 1
+        self.changed = asyncio.Event()
+        self.down = False  # True: refuses; "silent": never answers
+        self.calls = 0
+
+    def put(self, key, value):
+        self.revision += 1
+        self.keys[key] = (value, self.revision)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def item(self, key):
+        value, revision = self.keys[key]
+        if value is None:
+            return {"key": key, "revision": revision, "tombstone": True}
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        return {"key": key, "value": text, "revision": revision,
+                "created": revision, "lease": 0}
+
+    def range(self, prefix):
+        items = [self.item(k) for k in sorted(self.keys)
+                 if k.startswith(prefix) and self.keys[k][0] is not None]
+        return {"items": items, "has_more": False, "as_of": self.revision}
+
+    async def watch(self, after, wait):
+        until = time.monotonic() + wait
+        while self.revision <= after:
+            left = until - time.monotonic()
+            if left <= 0:
+                break
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                break
+        events = [self.item(k) for k, (_, r) in self.keys.items() if r > after]
+        return {"events": events, "as_of": self.revision}
+
+    async def serve(self, reader, writer):
+        try:
+            while (head := await read_head(reader)):
+                self.calls += 1
+                path, _, query = head[0].split()[1].partition("?")
+                args = dict(p.partition("=")[::2] for p in query.split("&"))
+                while self.down == "silent":
+                    await asyncio.sleep(0.1)
+                if self.down:
+                    writer.write(message(503, {}, b""))
+                elif path == "/kv-range":
+                    body = json.dumps(self.range(args["prefix"])).encode()
+                    writer.write(message(200, {}, body))
+                else:
+                    got = await self.watch(int(args["after"]),
+                                           int(args["wait_ms"]) / 1000)
+                    writer.write(message(200, {}, json.dumps(got).encode()))
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+
+class Books:
+    """What targets saw and ran, by request."""
+
+    def __init__(self):
+        self.runs = {}
+        self.late_arrivals = []
+
+    def ran(self, request_id, leaf):
+        self.runs.setdefault(request_id, []).append(leaf)
+
+
+class Leaf:
+    """A target: fields are faults, None or 0 when there is none."""
+
+    def __init__(self, ident, service, zone, books, work):
+        self.id, self.service, self.zone = ident, service, zone
+        self.books, self.work = books, work
+        self.slots = asyncio.Semaphore(2)
+        self.drained_at = None
+        self.shed = self.lose = self.late_extra = 0.0
+        self.paused_until = 0.0
+        self.server = None
+        self.port = 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1",
+                                                 self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def entry(self, addr):
+        state = "draining" if self.drained_at else "ready"
+        return {"service": self.service, "addr": addr, "zone": self.zone,
+                "version": "v1", "slots": 2, "state": state,
+                "cold_left_ms": 0, "seq": 1}
+
+    async def answer(self, head, body):
+        request_id = head[1].get("request-id", "")
+        if head[1].get("target-instance") not in (None, self.id):
+            return message(421, {"Instance-Id": self.id}, b"")
+        if self.drained_at and time.monotonic() - self.drained_at > 3.5:
+            self.books.late_arrivals.append((self.id, request_id))
+        if random.random() < self.shed:
+            return message(503, {"Not-Executed": "1"}, b"")
+        async with self.slots:
+            self.books.ran(request_id, self.id)
+            pause = self.paused_until - time.monotonic()
+            await asyncio.sleep(max(pause, 0) + self.work *
+                                random.uniform(0.5, 1.5))
+        if random.random() < self.lose:
+            return None
+        parts = part_records(self.id, request_id)
+        random.shuffle(parts)
+        out = body or b"".join(parts)
+        return message(200, {"Request-Id": request_id,
+                             "Response-Stamp": f"{self.id}.{request_id}",
+                             "Server-Load": "1,0,2"}, out)
+
+    async def serve(self, reader, writer):
+        try:
+            while (head := await read_head(reader)):
+                body = await read_body(reader, head[1])
+                reply = await self.answer(head, body)
+                if reply is None:
+                    break
+                writer.write(reply)
+                if random.random() < self.late_extra:
+                    await writer.drain()
+                    await asyncio.sleep(0.02)
+                    writer.write(reply)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+
+class Proxy:
+    """Stands before a target or the store; can delay, reset, cut, silence."""
+
+    def __init__(self, port_of):
+        self.port_of = port_of
+        self.delay = 0.0
+        self.silent = self.one_way = False
+        self.conns = set()
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def reset(self):
+        for writer in list(self.conns):
+            writer.transport.abort()
+
+    async def pump(self, reader, writer, back):
+        try:
+            while (data := await reader.read(65536)):
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                while self.silent or (back and self.one_way):
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    async def serve(self, reader, writer):
+        try:
+            to_reader, to_writer = await asyncio.open_connection(
+                "127.0.0.1", self.port_of())
+        except OSError:
+            writer.transport.abort()
+            return
+        self.conns.add(writer)
+        try:
+            await asyncio.gather(self.pump(reader, to_writer, False),
+                                 self.pump(to_reader, writer, True))
+        finally:
+            self.conns.discard(writer)
