Second targets are asked only after the asking node's word; silent merging nodes are given up in time

Cause: a test with three targets a shard and nodes that are cut off showed three asked: word of a second one was lost with the link. Now the node waits for the asking one's answer. The same test showed that the review at half of the goal was never planned: a silent node was given up at the soft deadline. Ruled out: the budget, which held.

--- a/batch.c
+++ b/batch.c
@@ -64,6 +64,7 @@
 	batch->parts = apr_palloc(call->pool, nparts * sizeof(*parts));
 	memcpy(batch->parts, parts, nparts * sizeof(*parts));
 	batch->nparts = nparts;
+	batch->tried = tried;
 	batch->next = call->batches;
 	call->batches = batch;
 	apr_hash_set(calls->batches->open, &batch->id, sizeof(batch->id),
@@ -134,8 +135,8 @@
 }
 
 /*
- * What a node has not answered for when it is lost, it may have sent once; if
- * it had answered for others, it was waiting for late ones and sent them twice.
+ * What a node has not answered for when it is lost, it may have sent once, and
+ * a second time only if it was told that it may.
  */
 static void batch_fail(struct calls *calls, struct batch *batch,
 		       const char *why)
@@ -146,7 +147,7 @@
 		   why);
 	batch_cancel(calls, batch);
 	calls->batches->failed(calls, call, batch->parts, batch->nparts,
-			       batch->replied ? 2 : 1);
+			       batch->tried + (batch->go ? 2 : 1));
 }
 
 /*
@@ -200,6 +201,22 @@
 	batch->nparts = kept;
 }
 
+/*
+ * Two nodes that both ask second targets of a shard would ask more of them than
+ * its route allows. So a node first sends word and waits for this one's, which
+ * from then on asks no more targets itself should the other be lost.
+ */
+static void grant(struct calls *calls, struct batch *batch)
+{
+	if (batch->go)
+		return;
+	batch->wants_go = true;
+	if (batch->call->asker.len && !batch->call->go)
+		return;
+	batch->go = true;
+	tell(calls, batch->addr, 0, MSG_ASK_GO)->msg.id = batch->id;
+}
+
 /* Every part of a reply must be one that this batch still waits for. */
 static bool is_awaited(const struct batch *batch, const uint16_t *parts,
 		       size_t nparts)
@@ -237,6 +254,8 @@
 		return;
 	}
 	batch->replied = true;
+	if (!msg->state)
+		grant(calls, batch);
 	drop_parts(batch, parts, nparts);
 	if (msg->state) {
 		/* The last word; what is left will not come from there. */
@@ -245,9 +264,9 @@
 			calls->batches->replied(calls, call, parts, nparts,
 						msg);
 		if (batch->nparts && !call->over)
-			calls->batches->failed(calls, call, batch->parts,
-					       batch->nparts,
-					       msg->ran ? CALL_TRIES_MAX : 0);
+			calls->batches->failed(
+				calls, call, batch->parts, batch->nparts,
+				msg->ran ? CALL_TRIES_MAX : batch->tried);
 		return;
 	}
 	calls->batches->replied(calls, call, parts, nparts, msg);
@@ -352,8 +371,9 @@
 	apr_pool_destroy(pool);
 }
 
-void batch_cancelled(struct calls *calls, struct str from,
-		     const struct msg *msg)
+/* The call that the node at @from knows by @id, or NULL. */
+static struct call *find_asked(struct calls *calls, struct str from,
+			       uint64_t id)
 {
 	apr_hash_index_t *it;
 
@@ -364,11 +384,32 @@
 
 		apr_hash_this(it, NULL, NULL, &value);
 		call = value;
-		if (call->asker_id != msg->id || !str_eq(call->asker, from))
-			continue;
+		if (call->asker_id == id && str_eq(call->asker, from))
+			return call;
+	}
+	return NULL;
+}
+
+void batch_cancelled(struct calls *calls, struct str from,
+		     const struct msg *msg)
+{
+	struct call *call = find_asked(calls, from, msg->id);
+
+	if (call)
 		call_abandon(calls, call);
+}
+
+void batch_on_go(struct calls *calls, struct str from, const struct msg *msg)
+{
+	struct call *call = find_asked(calls, from, msg->id);
+
+	if (!call || call->go)
 		return;
-	}
+	call->go = true;
+	for (struct batch *batch = call->batches; batch; batch = batch->next)
+		if (batch->wants_go)
+			grant(calls, batch);
+	call->kind->review(calls, call);
 }
 
 void batch_tell(struct calls *calls, const struct call *call,
--- a/batch.h
+++ b/batch.h
@@ -18,7 +18,10 @@
  * struct batch - shards handed to one node
  * @addr: of the node
  * @parts: indexes of the shards that it has not answered for
+ * @tried: targets of each that may have been asked before
  * @replied: something has come back
+ * @wants_go, @go: the node asked to ask second targets, and was told that it
+ * may
  */
 struct batch {
 	uint64_t id;
@@ -27,7 +30,10 @@
 	int64_t sent_at;
 	uint16_t *parts;
 	size_t nparts;
+	size_t tried;
 	bool replied;
+	bool wants_go;
+	bool go;
 	struct batch *next;
 };
 
@@ -68,6 +74,9 @@
 		    const struct msg *msg);
 void batch_on_lost(struct calls *calls, struct str addr);
 
+/** batch_on_go() - the node at @from knows that second targets are asked. */
+void batch_on_go(struct calls *calls, struct str from, const struct msg *msg);
+
 /** batch_asked() - another node hands shards to this one. */
 void batch_asked(struct calls *calls, struct catalog *catalog, struct str from,
 		 uint64_t incarnation, const struct msg *msg);
--- a/call.h
+++ b/call.h
@@ -86,6 +86,7 @@
  * @review_at: next review; 0 when none is planned
  * @wanted, @nwanted: shards that @asker wants; all of them for a caller
  * @may_hand_on: @asker handed over a whole question, far shards included
+ * @go: @asker knows that second targets are asked from here
  * @tried: targets of each shard that @asker, or a node it asked, may have had
  * @batches: shards that other nodes were asked for
  * @handed: times that a whole question was handed over
@@ -113,6 +114,7 @@
 	uint16_t *wanted;
 	size_t nwanted;
 	bool may_hand_on;
+	bool go;
 	size_t tried;
 	struct batch *batches;
 	int handed;
--- a/merge.c
+++ b/merge.c
@@ -20,8 +20,6 @@
 	RETURN_US = 12000,
 	/* Nodes that refuse, as they have another version, are not asked on. */
 	HANDED_MOST = 2,
-	/* Word to the asking node may be under way this long. */
-	TELL_SAFE_US = 6000,
 	/* A message to another node costs as much as a request to a target. */
 	BATCH_LEAST = 2,
 };
@@ -221,11 +219,20 @@
 			       : settle_answer(calls, call);
 }
 
+/* Of two times the earlier, unless it is over. */
+static int64_t sooner(int64_t when, int64_t other, int64_t now)
+{
+	return other > now && other < when ? other : when;
+}
+
 static void plan_review(struct calls *calls, struct call *call)
 {
-	int64_t when =
-		calls->now < call->soft_at ? call->soft_at : call->give_up_at;
+	int64_t when = sooner(call->give_up_at, call->soft_at, calls->now);
 
+	if (call->batches)
+		when = sooner(when, merge_batch_at(call), calls->now);
+	if (call->asker.len)
+		when = sooner(when, merge_tell_at(call), calls->now);
 	for (const struct attempt *at = call->attempts; at; at = at->next) {
 		int64_t due = at->sent_at + hedge_after(call, at);
 
@@ -248,21 +255,17 @@
 }
 
 /*
- * A node that has heard nothing asks the targets itself. A second target is
- * asked from here only once it has been told, so that both together do not ask
- * more of them than the route allows.
+ * For another node second targets are asked only once it knows of them: else,
+ * should it hear nothing more from here, it would ask further ones itself.
  */
 static void send_again(struct calls *calls, struct call *call, size_t part)
 {
 	const struct merge_state *state = call->state;
 
-	if (call->asker.len && !state->told && call->parts[part].ntried) {
-		/* The word would come too late: they are asked from there. */
-		if (calls->now >= merge_batch_at(call) - TELL_SAFE_US)
-			return;
+	if (!call->asker.len || call->go || !call->parts[part].ntried)
+		call_send(calls, call, part);
+	else if (!state->told)
 		tell_asker(calls, call, false);
-	}
-	call_send(calls, call, part);
 }
 
 static void hedge(struct calls *calls, struct call *call)
@@ -418,7 +421,7 @@
 static void mark_tried(struct part *part, size_t tried)
 {
 	part->again = tried > 0;
-	while (part->ntried < tried)
+	while (part->ntried < tried && part->ntried < CALL_TRIES_MAX)
 		part->tried[part->ntried++] = 0;
 }
 
--- a/msg.h
+++ b/msg.h
@@ -24,7 +24,8 @@
  * is the request, @name the indexes of shards in the configuration @version,
  * @state whether far ones may be handed on, @attempt targets of each that were
  * tried; ASK_REPLY brings records in @body,
- * signatures in @text of the shards in @name, @state when it is the last.
+ * signatures in @text of the shards in @name, @state when it is the last. After
+ * the first word of a node the asking one says GO: second targets may be asked.
  */
 enum msg_kind {
 	MSG_NONE,
@@ -52,6 +53,7 @@
 	MSG_ASK,
 	MSG_ASK_REPLY,
 	MSG_ASK_CANCEL,
+	MSG_ASK_GO,
 	MSG_KINDS,
 };
 
--- a/tests/check_tier.c
+++ b/tests/check_tier.c
@@ -229,6 +229,21 @@
 	{ "cut off", false, false, true },
 };
 
+/* Each shard has a third target, so that three could be asked. */
+static struct stage *begin_with_three(void)
+{
+	struct stage *stage = begin(NODES);
+
+	for (int i = 0; i < STAGE_SHARDS; i++) {
+		char service[16];
+
+		snprintf(service, sizeof(service), "s%d", i);
+		stage_add_target(stage, service, i % STAGE_DOMAINS);
+	}
+	stage_run(stage, 2 * SECOND_US);
+	return stage;
+}
+
 static void strike(struct stage *stage, const struct node_fault *fault,
 		   int node)
 {
@@ -247,14 +262,19 @@
  */
 START_TEST(test_merging_node_lost)
 {
-	struct stage *stage = begin(NODES);
+	struct stage *stage = begin_with_three();
 	int index = stage_call(stage, 0, STAGE_MERGED);
 	int next;
 
+	/* Long enough for the first sends of the others to be late. */
+	for (int i = 0; i < stage->ntargets; i++)
+		stage->targets[i].service_us = 30000;
 	stage_run(stage, 1200);
 	for (int i = 1; i < NODES; i++)
 		strike(stage, &node_faults[_i], i);
 	stage_run(stage, SECOND_US / 2);
+	for (int i = 0; i < stage->ntargets; i++)
+		stage->targets[i].service_us = 8000;
 	next = stage_call(stage, 0, STAGE_MERGED);
 	stage_run(stage, SECOND_US);
 	ck_assert_int_eq(stage->calls[index].status, 200);
--- a/tier.c
+++ b/tier.c
@@ -243,6 +243,9 @@
 	case MSG_ASK_REPLY:
 		batch_on_reply(&tier->calls, event->from, msg);
 		break;
+	case MSG_ASK_GO:
+		batch_on_go(&tier->calls, event->from, msg);
+		break;
 	case MSG_ASK_CANCEL:
 		batch_cancelled(&tier->calls, event->from, msg);
 		break;
