--- a/front.c
+++ b/front.c
@@ -16,25 +16,15 @@
 	REROUTES_MAX = 4,
 	REROUTE_US = 20000,
 	REROUTE_FACTOR = 3,
-	HEDGE_MIN_US = 1000,
-	HEDGE_FIRST_US = 50000,
-	LIMIT_MIN = 4,
-	LIMIT_EVERY_US = 100000,
-	WAIT_SHARE = 4,
 	BUDGET_MAX = 256,
 	BUDGET_START = 32,
-	RETRY_AFTER_US = 250000,
-	STARTING_RETRY_US = 1000000,
 	HEDGED_ATTEMPTS = 3,
 	ANSWER_MAX = 8 * 1024 * 1024,
 };
 
-#define LIMIT_CUT 0.9
 #define HEDGE_QUANTILE 0.97
 #define EPSILON 1e-9
 
-static void finish(struct node *node, struct question *q, int code);
-
 void front_init(struct node *node)
 {
 	struct front *front = xcalloc(1, sizeof(*front));
@@ -108,7 +98,7 @@
 	replica_get(node, attempt->target->key)->outstanding--;
 }
 
-static void close_all(struct node *node, struct question *q, struct leaf *leaf)
+void front_close_all(struct node *node, struct question *q, struct leaf *leaf)
 {
 	for (uint32_t i = 0; i < leaf->nattempts; i++) {
 		if (!leaf->attempts[i].open)
@@ -186,12 +176,12 @@
 	return answer_share(q, q->covered) >= q->plan.floor - EPSILON;
 }
 
-static bool is_done(const struct question *q)
+bool front_is_done(const struct question *q)
 {
 	return !q->open_leafs || (q->soft_passed && floor_met(q));
 }
 
-static void start_leafs(struct node *node, struct question *q);
+void front_start_leafs(struct node *node, struct question *q);
 
 /*
  * A snapshot that its targets no longer have cannot reach the floor. All of
@@ -212,14 +202,14 @@
 	node->front->budget -= (double)q->nleafs / 2;
 	node->counters[CNT_RESTARTS]++;
 	for (size_t i = 0; i < q->nleafs; i++)
-		close_all(node, q, &q->leafs[i]);
+		front_close_all(node, q, &q->leafs[i]);
 	q->restarted = true;
 	q->base += (uint32_t)q->nleafs * LEAF_ATTEMPTS;
 	q->snapshot = other;
 	q->nleafs = count;
 	q->total = total;
 	q->covered = 0;
-	start_leafs(node, q);
+	front_start_leafs(node, q);
 	return true;
 }
 
@@ -299,7 +289,7 @@
 	return true;
 }
 
-static void start_leafs(struct node *node, struct question *q)
+void front_start_leafs(struct node *node, struct question *q)
 {
 	size_t n = 0;
 
@@ -333,241 +323,6 @@
 	}
 }
 
-/* Admission. */
-
-static int check_state(const struct node *node)
-{
-	if (member_state(node) == VM_STARTING || !node->lists || !node->fleet)
-		return ERR_STARTING;
-	if (member_isolated(node))
-		return ERR_ISOLATED;
-	return 0;
-}
-
-static int check_plan(const struct node *node, const struct ask *ask,
-		      const struct plan **plan, char *text, size_t size)
-{
-	*plan = lists_plan(node->lists, ask->customer);
-	if (!*plan) {
-		snprintf(text, size, "customer \"%.*s\"",
-			 STR_ARG(ask->customer));
-		return ERR_UNKNOWN_CUSTOMER;
-	}
-	for (size_t i = 0; i < ask->nindexes; i++) {
-		if (plan_allows(*plan, ask->indexes[i], false))
-			continue;
-		snprintf(text, size, "index \"%.*s\"",
-			 STR_ARG(ask->indexes[i]));
-		return ERR_NOT_ALLOWED;
-	}
-	return 0;
-}
-
-static void refuse(struct node *node, uint64_t caller, int code,
-		   const char *text, int64_t retry_us)
-{
-	node->counters[CNT_REFUSED]++;
-	if (code == ERR_OVER_PLAN)
-		node->counters[CNT_OVER_PLAN]++;
-	node_refuse(node, caller, code, text, retry_us);
-}
-
-static void drop(struct node *node, struct question *q)
-{
-	struct front *front = node->front;
-
-	apr_hash_set(front->questions, &q->id, sizeof(q->id), NULL);
-	apr_hash_set(front->callers, &q->caller, sizeof(q->caller), NULL);
-	front->open--;
-	fleet_unref(q->fleet);
-	apr_pool_destroy(q->pool);
-}
-
-static int64_t hedge_delay(const struct node *node)
-{
-	const struct front *front = node->front;
-	int64_t delay = front->config.hedge_fixed_us;
-
-	if (!delay)
-		delay = latency_quantile(front->latency,
-					 front->config.hedge_quantile);
-	if (!delay)
-		delay = HEDGE_FIRST_US;
-	return delay < HEDGE_MIN_US ? HEDGE_MIN_US : delay;
-}
-
-static void begin(struct node *node, struct question *q)
-{
-	size_t count = 0;
-	double total = 0;
-
-	q->waiting = false;
-	q->fleet = fleet_ref(node->fleet);
-	q->snapshot = snapshot_choose(node, &q->ask, q->fleet, q->plan.floor,
-				      NULL, &count, &total);
-	if (!q->snapshot) {
-		refuse(node, q->caller, ERR_NO_SNAPSHOT,
-		       "no snapshot has all of the indexes and shards asked "
-		       "for",
-		       STARTING_RETRY_US);
-		drop(node, q);
-		return;
-	}
-	q->nleafs = count;
-	q->total = total;
-	start_leafs(node, q);
-	if (is_done(q)) {
-		finish(node, q, 0);
-		return;
-	}
-	timer_add(&node->timers, q->soft_at, TIMER_QUESTION, q->id);
-	timer_add(&node->timers, q->hard_at, TIMER_QUESTION, q->id);
-	if (node->front->config.hedge)
-		timer_add(&node->timers, node->now + hedge_delay(node),
-			  TIMER_HEDGE, q->id);
-}
-
-static struct question *question_create(struct node *node, uint64_t caller,
-					apr_pool_t *pool, const struct ask *ask,
-					const struct plan *plan)
-{
-	struct question *q = apr_pcalloc(pool, sizeof(*q));
-
-	q->pool = pool;
-	q->id = ++node->next_id;
-	q->caller = caller;
-	q->ask = *ask;
-	q->plan = *plan;
-	q->start = node->now;
-	q->hard_at = node->now + plan->deadline_us;
-	if (ask->deadline_us && ask->deadline_us < plan->deadline_us)
-		q->hard_at = node->now + ask->deadline_us;
-	q->soft_at = node->now + plan->soft_us;
-	if (q->soft_at > q->hard_at)
-		q->soft_at = q->hard_at;
-	apr_hash_set(node->front->questions, &q->id, sizeof(q->id), q);
-	apr_hash_set(node->front->callers, &q->caller, sizeof(q->caller), q);
-	node->front->open++;
-	return q;
-}
-
-static int admit(struct node *node, const struct ask *ask,
-		 const struct plan **plan, char *text, size_t size)
-{
-	struct front *front = node->front;
-	int code = check_state(node);
-
-	if (!code)
-		code = check_plan(node, ask, plan, text, size);
-	if (code)
-		return code;
-	if (front->open >= (size_t)node->opt.max_open ||
-	    (front->config.admission && (double)front->open >= front->limit))
-		return ERR_OVERLOADED;
-	return 0;
-}
-
-void front_ask(struct node *node, uint64_t caller, struct str body)
-{
-	struct error err = { 0 };
-	const struct plan *plan = NULL;
-	apr_pool_t *pool;
-	struct ask ask;
-	int64_t retry_us = STARTING_RETRY_US;
-	int code;
-
-	node->counters[CNT_QUESTIONS]++;
-	apr_pool_create(&pool, node->front->pool);
-	code = ask_parse(body, pool, &ask, &err);
-	if (!code)
-		code = admit(node, &ask, &plan, err.text, sizeof(err.text));
-	if (code == ERR_OVERLOADED)
-		retry_us = RETRY_AFTER_US;
-	else if (code != ERR_STARTING && code != ERR_ISOLATED)
-		retry_us = 0;
-	if (code) {
-		refuse(node, caller, code, err.text, retry_us);
-		apr_pool_destroy(pool);
-		return;
-	}
-
-	struct question *q = question_create(node, caller, pool, &ask, plan);
-
-	switch (quota_take(node, ask.customer, plan, q->id, &retry_us)) {
-	case QUOTA_TAKEN:
-		begin(node, q);
-		break;
-	case QUOTA_WAIT:
-		q->waiting = true;
-		break;
-	case QUOTA_REFUSED:
-		refuse(node, caller, ERR_OVER_PLAN, "", retry_us);
-		drop(node, q);
-		break;
-	}
-}
-
-void front_quota(struct node *node, uint64_t id, bool taken, int64_t retry_us)
-{
-	struct question *q =
-		apr_hash_get(node->front->questions, &id, sizeof(id));
-
-	if (!q || !q->waiting)
-		return;
-	if (taken) {
-		begin(node, q);
-		return;
-	}
-	refuse(node, q->caller, ERR_OVER_PLAN, "", retry_us);
-	drop(node, q);
-}
-
-/*
- * The limit on open questions follows the gates' queues: a long wait there
- * means that the fleet as a whole has more than its slots carry, and a
- * question that is admitted now would be answered late or in part.
- */
-static void steer_limit(struct node *node, const struct question *q)
-{
-	struct front *front = node->front;
-	int64_t bound = q->plan.soft_us / WAIT_SHARE;
-
-	if (q->worst_wait > bound) {
-		if (node->now - front->limit_at < LIMIT_EVERY_US)
-			return;
-		front->limit_at = node->now;
-		if (front->limit > (double)front->open + LIMIT_MIN)
-			front->limit = (double)front->open + LIMIT_MIN;
-		front->limit *= LIMIT_CUT;
-		if (front->limit < LIMIT_MIN)
-			front->limit = LIMIT_MIN;
-	} else if (front->limit < node->opt.max_open &&
-		   (double)front->open * 2 >= front->limit) {
-		front->limit += 1 / front->limit;
-	}
-}
-
-static void finish(struct node *node, struct question *q, int code)
-{
-	for (size_t i = 0; i < q->nleafs; i++)
-		close_all(node, q, &q->leafs[i]);
-	steer_limit(node, q);
-	if (!code)
-		answer_send(node, q);
-	drop(node, q);
-}
-
-void front_caller_gone(struct node *node, uint64_t caller)
-{
-	struct question *q =
-		apr_hash_get(node->front->callers, &caller, sizeof(caller));
-
-	if (!q)
-		return;
-	node->counters[CNT_CALLERS_GONE]++;
-	finish(node, q, ERR_CANCELLED);
-}
-
 /* Replies. */
 
 /*
@@ -644,7 +399,7 @@
 	if (attempt->hedge)
 		node->counters[CNT_HEDGES_WON]++;
 	earn_budget(node, q->plan.extra_load);
-	close_all(node, q, leaf);
+	front_close_all(node, q, leaf);
 }
 
 void front_reply(struct node *node, struct str from, uint64_t incarnation,
@@ -679,7 +434,7 @@
 		replica_answered(node, attempt);
 		merge(node, q, leaf, attempt, msg);
 	} else if (status == ERR_TOO_LARGE) {
-		close_all(node, q, leaf);
+		front_close_all(node, q, leaf);
 		set_missing(node, q, leaf, status);
 	} else {
 		if (status == ERR_QUEUE_FULL)
@@ -687,8 +442,8 @@
 		replica_failed(node, q, attempt, status);
 		fail_over(node, q, leaf, status, msg->ran);
 	}
-	if (is_done(q))
-		finish(node, q, 0);
+	if (front_is_done(q))
+		front_finish(node, q, 0);
 }
 
 /* Timers. */
@@ -724,8 +479,8 @@
 		q->soft_passed = true;
 	if (node->now < q->hard_at)
 		retry_due(node, q);
-	if (node->now >= q->hard_at || is_done(q))
-		finish(node, q, 0);
+	if (node->now >= q->hard_at || front_is_done(q))
+		front_finish(node, q, 0);
 }
 
 /* Return: false when the budget is spent. */
@@ -762,14 +517,14 @@
 {
 	struct question *q =
 		apr_hash_get(node->front->questions, &id, sizeof(id));
-	int64_t delay = hedge_delay(node);
+	int64_t delay = front_hedge_delay(node);
 
 	if (!q || q->waiting)
 		return;
 	for (size_t i = 0; i < q->nleafs; i++)
 		if (!hedge_leaf(node, q, &q->leafs[i], delay))
 			break;
-	timer_add(&node->timers, node->now + delay / 2 + HEDGE_MIN_US,
+	timer_add(&node->timers, node->now + delay / 2 + FRONT_HEDGE_MIN_US,
 		  TIMER_HEDGE, id);
 }
 
@@ -816,10 +571,11 @@
 		if (q->waiting)
 			continue;
 		question_gate_lost(node, q, gate, incarnation);
-		if (is_done(q))
+		if (front_is_done(q))
 			APR_ARRAY_PUSH(done, struct question *) = q;
 	}
 	for (int i = 0; i < done->nelts; i++)
-		finish(node, APR_ARRAY_IDX(done, i, struct question *), 0);
+		front_finish(node, APR_ARRAY_IDX(done, i, struct question *),
+			     0);
 	apr_pool_destroy(pool);
 }
--- a/front.h
+++ b/front.h
@@ -131,3 +131,16 @@
 void front_timer(struct node *node, uint64_t id);
 void front_hedge_timer(struct node *node, uint64_t id);
 size_t front_open(const struct node *node);
+
+/* Shared with front_admit.c. */
+
+enum {
+	/* A hedge sooner than this would only double what is about to come. */
+	FRONT_HEDGE_MIN_US = 1000,
+};
+
+bool front_is_done(const struct question *q);
+void front_start_leafs(struct node *node, struct question *q);
+void front_close_all(struct node *node, struct question *q, struct leaf *leaf);
+void front_finish(struct node *node, struct question *q, int code);
+int64_t front_hedge_delay(const struct node *node);
--- a/gate.h
+++ b/gate.h
@@ -161,3 +161,9 @@
 /** gate_refuse_all() - refuse all that is queued for @target. */
 void gate_refuse_all(struct node *node, struct target *target, int status);
 size_t gate_open(const struct node *node);
+
+/* Shared with gate_owner.c. */
+
+void gate_pump(struct node *node, struct target *target);
+void gate_hand_over(struct node *node, struct target *target);
+void gate_target_free(struct target *target);
--- a/once.c
+++ b/once.c
@@ -15,14 +15,6 @@
 	RESULT_KEPT = 4096,
 	RECORDS_MAX = 20000,
 	FORWARD_GRACE_US = 250000,
-	RETRY_US = 500000,
-};
-
-/** enum forward_kind - what the issuer is asked for */
-enum forward_kind {
-	FORWARD_ENTRY,
-	FORWARD_LOOKUP,
-	FORWARD_TICKET,
 };
 
 /** struct forward - a caller's request that another node answers */
@@ -133,8 +125,8 @@
 	return error_info(code)->status;
 }
 
-static void tell(struct node *node, const struct waiter *waiter, int status,
-		 struct str body)
+void once_tell(struct node *node, const struct waiter *waiter, int status,
+	       struct str body)
 {
 	if (!waiter->addr.len) {
 		node_answer(node, waiter->caller, status, body);
@@ -149,36 +141,36 @@
 	node_send(node, waiter->addr, waiter->incarnation, &msg);
 }
 
-static void tell_plain(struct node *node, const struct waiter *waiter,
-		       struct str request_id, const char *outcome, int code,
-		       const char *text, int64_t retry_us, struct str ticket)
+void once_tell_plain(struct node *node, const struct waiter *waiter,
+		     struct str request_id, const char *outcome, int code,
+		     const char *text, int64_t retry_us, struct str ticket)
 {
 	struct buf out = { 0 };
 	int status = plain_json(request_id, outcome, code, text, retry_us,
 				ticket, &out);
 
-	tell(node, waiter, status, buf_str(&out));
+	once_tell(node, waiter, status, buf_str(&out));
 	buf_free(&out);
 }
 
-static void tell_record(struct node *node, const struct record *record,
-			const struct waiter *waiter)
+void once_tell_record(struct node *node, const struct record *record,
+		      const struct waiter *waiter)
 {
 	struct buf out = { 0 };
 	int status = outcome_json(record, &out);
 
-	tell(node, waiter, status, buf_str(&out));
+	once_tell(node, waiter, status, buf_str(&out));
 	buf_free(&out);
 }
 
 /* Records. */
 
-static struct record *record_find(const struct node *node, uint64_t seq)
+struct record *once_record_find(const struct node *node, uint64_t seq)
 {
 	return apr_hash_get(node->once->records, &seq, sizeof(seq));
 }
 
-static bool is_final(const struct record *record)
+bool once_is_final(const struct record *record)
 {
 	return record->state >= RECORD_DONE;
 }
@@ -192,7 +184,7 @@
 	struct once *once = node->once;
 
 	while (once->count > RECORDS_MAX && once->oldest &&
-	       is_final(once->oldest)) {
+	       once_is_final(once->oldest)) {
 		struct record *record = once->oldest;
 
 		once->oldest = record->newer;
@@ -207,8 +199,8 @@
 	}
 }
 
-static struct record *record_create(struct node *node, uint64_t seq,
-				    struct str body)
+struct record *once_record_create(struct node *node, uint64_t seq,
+				  struct str body)
 {
 	struct once *once = node->once;
 	struct error err;
@@ -247,7 +239,7 @@
 	return record;
 }
 
-static void add_waiter(struct record *record, const struct waiter *waiter)
+void once_add_waiter(struct record *record, const struct waiter *waiter)
 {
 	struct waiter *copy = apr_palloc(record->pool, sizeof(*copy));
 
@@ -266,17 +258,17 @@
 		[RECORD_UNKNOWN] = CNT_ENTRIES_UNKNOWN,
 	};
 
-	if (!is_final(record))
+	if (!once_is_final(record))
 		node->once->open--;
 	record->state = state;
 	record->code = code;
 	str_free(record->result);
 	record->result = str_keep(result);
 	if (!record->retry_us)
-		record->retry_us = RETRY_US;
+		record->retry_us = ONCE_RETRY_US;
 	node->counters[counters[state]]++;
 	for (struct waiter *w = record->waiters; w; w = w->next)
-		tell_record(node, record, w);
+		once_tell_record(node, record, w);
 	record->waiters = NULL;
 	if (record->result.len > RESULT_KEPT) {
 		str_free(record->result);
@@ -288,7 +280,7 @@
 	record->pool = NULL;
 }
 
-static void set_not_run(struct node *node, struct record *record, int code)
+void once_set_not_run(struct node *node, struct record *record, int code)
 {
 	conclude(node, record, RECORD_NOT_RUN, code, (struct str){ 0 });
 }
@@ -331,7 +323,7 @@
 	return NULL;
 }
 
-static void reserve(struct node *node, struct record *record, int why)
+void once_reserve(struct node *node, struct record *record, int why)
 {
 	uint64_t version;
 	const struct shard *shard =
@@ -344,7 +336,7 @@
 	if (target)
 		gate = member_owner(node, target->key, target->domain->name);
 	if (!gate || record->attempt == ATTEMPTS_MAX) {
-		set_not_run(node, record, why ? why : ERR_NO_REPLICA);
+		once_set_not_run(node, record, why ? why : ERR_NO_REPLICA);
 		return;
 	}
 	record->attempt++;
@@ -400,14 +392,14 @@
 void once_grant(struct node *node, struct str from, uint64_t incarnation,
 		const struct msg *msg)
 {
-	struct record *record = record_find(node, msg->id);
+	struct record *record = once_record_find(node, msg->id);
 
 	if (!record || record->state != RECORD_RESERVE ||
 	    !is_from_gate(record, from, incarnation, msg))
 		return;
 	if (node->now >= record->deadline) {
 		release(node, record, from);
-		set_not_run(node, record, ERR_DEADLINE);
+		once_set_not_run(node, record, ERR_DEADLINE);
 		return;
 	}
 	/* The only place that lets a body out, and only from this state. */
@@ -427,7 +419,7 @@
 void once_go_reply(struct node *node, struct str from, uint64_t incarnation,
 		   const struct msg *msg)
 {
-	struct record *record = record_find(node, msg->id);
+	struct record *record = once_record_find(node, msg->id);
 
 	if (!record || !is_from_gate(record, from, incarnation, msg))
 		return;
@@ -452,14 +444,14 @@
 
 void once_timer(struct node *node, uint64_t seq)
 {
-	struct record *record = record_find(node, seq);
+	struct record *record = once_record_find(node, seq);
 
-	if (!record || is_final(record))
+	if (!record || once_is_final(record))
 		return;
 	if (record->retry_at && node->now >= record->retry_at &&
 	    node->now < record->deadline) {
 		record->retry_at = 0;
-		reserve(node, record, record->code);
+		once_reserve(node, record, record->code);
 		return;
 	}
 	if (node->now < record->deadline)
@@ -474,7 +466,7 @@
 
 	if (gate && record->state == RECORD_RESERVE)
 		release(node, record, gate->addr);
-	set_not_run(node, record, ERR_DEADLINE);
+	once_set_not_run(node, record, ERR_DEADLINE);
 }
 
 static void record_gate_lost(struct node *node, struct record *record)
@@ -509,14 +501,14 @@
 		harmless ? "no ticket was issued"
 			 : "the VM that issued the ticket did "
 			   "not answer",
-		harmless ? RETRY_US : 0, (struct str){ 0 }, &out);
+		harmless ? ONCE_RETRY_US : 0, (struct str){ 0 }, &out);
 
 	forward_end(node, forward, status, buf_str(&out));
 	buf_free(&out);
 }
 
-static void forward_to(struct node *node, uint64_t caller, const struct vm *vm,
-		       enum forward_kind kind, struct str body)
+void once_forward_to(struct node *node, uint64_t caller, const struct vm *vm,
+		     enum forward_kind kind, struct str body)
 {
 	struct forward *forward = xcalloc(1, sizeof(*forward));
 	struct msg msg = { .kind = MSG_FORWARD, .attempt = kind, .body = body };
@@ -557,299 +549,12 @@
 	forward_end(node, forward, msg->status, msg->body);
 }
 
-/* Requests. */
-
-static void start_record(struct node *node, struct record *record)
-{
-	const struct plan *plan =
-		node->lists ? lists_plan(node->lists, record->entry.customer)
-			    : NULL;
-	int64_t retry_us = 0;
-
-	timer_add(&node->timers, record->deadline, TIMER_RECORD, record->seq);
-	if (!node->fleet || member_isolated(node)) {
-		set_not_run(node, record, ERR_ISOLATED);
-		return;
-	}
-	if (!plan || !plan_allows(plan, record->entry.index, true)) {
-		set_not_run(node, record,
-			    plan ? ERR_NOT_ALLOWED : ERR_UNKNOWN_CUSTOMER);
-		return;
-	}
-	record->state = RECORD_QUOTA;
-	switch (quota_take(node, record->entry.customer, plan, record->seq,
-			   &retry_us)) {
-	case QUOTA_TAKEN:
-		reserve(node, record, 0);
-		break;
-	case QUOTA_WAIT:
-		break;
-	case QUOTA_REFUSED:
-		record->retry_us = retry_us;
-		set_not_run(node, record, ERR_OVER_PLAN);
-		break;
-	}
-}
-
-void once_quota(struct node *node, uint64_t seq, bool taken, int64_t retry_us)
-{
-	struct record *record = record_find(node, seq);
-
-	if (!record || record->state != RECORD_QUOTA)
-		return;
-	if (taken) {
-		reserve(node, record, 0);
-		return;
-	}
-	record->retry_us = retry_us;
-	set_not_run(node, record, ERR_OVER_PLAN);
-}
-
-static void join_record(struct node *node, struct record *record,
-			const struct entry *entry, bool lookup,
-			const struct waiter *waiter)
-{
-	bool same = record->customer == str_hash(entry->customer) &&
-		    str_eq(record->request_id, entry->request_id) &&
-		    (lookup || record->body_hash == str_hash(entry->entry));
-
-	if (!same) {
-		tell_plain(node, waiter, entry->request_id, "unknown",
-			   ERR_TICKET_MISMATCH,
-			   "the ticket was used for another entry", 0,
-			   (struct str){ 0 });
-		return;
-	}
-	node->counters[CNT_ENTRIES_REPEATED]++;
-	if (is_final(record))
-		tell_record(node, record, waiter);
-	else
-		add_waiter(record, waiter);
-}
-
-static void run_here(struct node *node, const struct ticket *ticket,
-		     const struct entry *entry, struct str body, bool lookup,
-		     const struct waiter *waiter)
-{
-	struct record *record = record_find(node, ticket->seq);
-	int code = 0;
-
-	if (ticket->check !=
-	    ticket_check(node, ticket, entry->customer, entry->request_id)) {
-		tell_plain(node, waiter, entry->request_id, "not_run",
-			   ERR_TICKET_INVALID,
-			   "the ticket does not fit request id and customer", 0,
-			   (struct str){ 0 });
-		return;
-	}
-	if (record) {
-		join_record(node, record, entry, lookup, waiter);
-		return;
-	}
-	if (ticket->seq <= node->once->evicted)
-		code = ERR_ISSUER_GONE;
-	else if (node->now - ticket->issued_at >= TICKET_US)
-		code = ERR_TICKET_EXPIRED;
-	else if (lookup)
-		code = ERR_NOT_FOUND;
-	if (code) {
-		tell_plain(node, waiter, entry->request_id,
-			   code == ERR_ISSUER_GONE ? "unknown" : "not_run",
-			   code,
-			   code == ERR_NOT_FOUND ? "the ticket was not used yet"
-						 : "",
-			   0, (struct str){ 0 });
-		return;
-	}
-	node->counters[CNT_ENTRIES]++;
-	record = record_create(node, ticket->seq, body);
-	add_waiter(record, waiter);
-	start_record(node, record);
-}
-
-static struct vm *another_issuer(struct node *node)
-{
-	for (size_t i = 1; i < node->member->count; i++)
-		if (member_usable(node, node->member->vms[i]))
-			return node->member->vms[i];
-	return NULL;
-}
-
-/* Whether this node must not issue: a ticket would outlive it. */
-static bool may_issue(const struct node *node)
-{
-	return member_state(node) == VM_LIVE && !member_isolated(node);
-}
-
-static void require_ticket(struct node *node, const struct entry *entry,
-			   struct str body, const struct waiter *waiter)
-{
-	char text[TICKET_MAX];
-	struct str issued = ticket_issue(node, entry->customer,
-					 entry->request_id, text, sizeof(text));
-	struct ticket ticket;
-
-	if (node->opt.off.no_ticket && ticket_parse(issued, &ticket)) {
-		run_here(node, &ticket, entry, body, false, waiter);
-		return;
-	}
-	tell_plain(node, waiter, entry->request_id, "not_run",
-		   ERR_TICKET_REQUIRED, "an entry needs a ticket", 0, issued);
-}
-
-static void give_ticket(struct node *node, struct str body,
-			const struct waiter *waiter)
-{
-	struct buf out = { 0 };
-	char text[TICKET_MAX];
-	struct error err;
-	struct entry entry;
-	apr_pool_t *pool;
-
-	apr_pool_create(&pool, node->once->pool);
-	if (entry_parse(body, true, pool, &entry, &err)) {
-		tell_plain(node, waiter, entry.request_id, "not_run", err.code,
-			   err.text, 0, (struct str){ 0 });
-	} else if (!lists_plan(node->lists, entry.customer)) {
-		tell_plain(node, waiter, entry.request_id, "not_run",
-			   ERR_UNKNOWN_CUSTOMER, "", 0, (struct str){ 0 });
-	} else {
-		buf_str_add(&out, STR("{\"request_id\":"));
-		buf_json_add(&out, entry.request_id);
-		ticket_issue(node, entry.customer, entry.request_id, text,
-			     sizeof(text));
-		buf_printf(&out, ",\"ticket\":\"%s\",\"valid_ms\":%d}", text,
-			   TICKET_US / 1000);
-		tell(node, waiter, 200, buf_str(&out));
-	}
-	buf_free(&out);
-	apr_pool_destroy(pool);
-}
-
-static bool pass_on(struct node *node, const struct waiter *waiter,
-		    enum forward_kind kind, struct str body)
-{
-	struct vm *other;
-
-	if (may_issue(node) || waiter->addr.len)
-		return false;
-	other = another_issuer(node);
-	if (!other)
-		return false;
-	forward_to(node, waiter->caller, other, kind, body);
-	return true;
-}
-
-static bool refuse_starting(struct node *node, const struct waiter *waiter)
-{
-	if (node->lists && node->fleet && member_state(node) != VM_STARTING)
-		return false;
-	tell_plain(node, waiter, (struct str){ 0 }, "not_run", ERR_STARTING, "",
-		   RETRY_US, (struct str){ 0 });
-	return true;
-}
-
-void once_ticket(struct node *node, uint64_t caller, struct str body)
-{
-	struct waiter waiter = { .caller = caller };
-
-	if (refuse_starting(node, &waiter) ||
-	    pass_on(node, &waiter, FORWARD_TICKET, body))
-		return;
-	give_ticket(node, body, &waiter);
-}
-
-static void route(struct node *node, struct str body, bool lookup,
-		  const struct waiter *waiter, const struct entry *entry)
-{
-	struct ticket ticket;
-	struct vm *issuer;
-
-	if (!entry->ticket.len && !lookup) {
-		if (!pass_on(node, waiter, FORWARD_ENTRY, body))
-			require_ticket(node, entry, body, waiter);
-		return;
-	}
-	if (!ticket_parse(entry->ticket, &ticket)) {
-		tell_plain(node, waiter, entry->request_id, "not_run",
-			   ERR_TICKET_INVALID, "not a ticket", 0,
-			   (struct str){ 0 });
-		return;
-	}
-	issuer = member_find(node, str_hash(ticket.addr));
-	if (str_eq(ticket.addr, node->opt.addr) &&
-	    ticket.incarnation == node->opt.incarnation) {
-		run_here(node, &ticket, entry, body, lookup, waiter);
-	} else if (issuer && issuer->incarnation == ticket.incarnation &&
-		   issuer->heard_at != INT64_MIN && !waiter->addr.len) {
-		forward_to(node, waiter->caller, issuer,
-			   lookup ? FORWARD_LOOKUP : FORWARD_ENTRY, body);
-	} else {
-		/*
-		 * The issuer alone knows whether the entry ran. Running it
-		 * here could be the second run, so nobody else ever does.
-		 */
-		tell_plain(node, waiter, entry->request_id, "unknown",
-			   ERR_ISSUER_GONE,
-			   "the VM that issued the ticket is gone or cut off",
-			   0, (struct str){ 0 });
-	}
-}
-
-static void handle(struct node *node, struct str body, bool lookup,
-		   const struct waiter *waiter)
-{
-	struct error err = { 0 };
-	struct entry entry;
-	apr_pool_t *pool;
-
-	apr_pool_create(&pool, node->once->pool);
-	if (entry_parse(body, lookup, pool, &entry, &err))
-		tell_plain(node, waiter, entry.request_id, "not_run", err.code,
-			   err.text, 0, (struct str){ 0 });
-	/*
-	 * What has a ticket may have run under it before: a node that has just
-	 * started cannot call it "not run", only its issuer can.
-	 */
-	else if (entry.ticket.len || !refuse_starting(node, waiter))
-		route(node, body, lookup, waiter, &entry);
-	apr_pool_destroy(pool);
-}
-
-void once_entry(struct node *node, uint64_t caller, struct str body)
-{
-	struct waiter waiter = { .caller = caller };
-
-	handle(node, body, false, &waiter);
-}
-
-void once_lookup(struct node *node, uint64_t caller, struct str body)
-{
-	struct waiter waiter = { .caller = caller };
-
-	handle(node, body, true, &waiter);
-}
-
-void once_forwarded(struct node *node, struct str from, uint64_t incarnation,
-		    const struct msg *msg)
-{
-	struct waiter waiter = { .addr = from,
-				 .incarnation = incarnation,
-				 .forward = msg->id };
-
-	if (msg->attempt != FORWARD_TICKET)
-		handle(node, msg->body, msg->attempt == FORWARD_LOOKUP,
-		       &waiter);
-	else if (!refuse_starting(node, &waiter))
-		give_ticket(node, msg->body, &waiter);
-}
-
 void once_caller_gone(struct node *node, uint64_t caller)
 {
 	if (!node->once->open)
 		return;
 	for (struct record *r = node->once->newest; r; r = r->older) {
-		if (is_final(r))
+		if (once_is_final(r))
 			continue;
 		for (struct waiter **at = &r->waiters; *at;) {
 			if (!(*at)->addr.len && (*at)->caller == caller)
@@ -890,7 +595,7 @@
 		return;
 	forwards_lost(node, key, incarnation);
 	for (struct record *r = node->once->newest; r; r = r->older)
-		if (!is_final(r) && r->gate == key &&
+		if (!once_is_final(r) && r->gate == key &&
 		    r->gate_incarnation == incarnation)
 			record_gate_lost(node, r);
 }
--- a/once.h
+++ b/once.h
@@ -97,3 +97,35 @@
 void once_forward_timer(struct node *node, uint64_t id);
 /** once_open() - records, forwards and tickets that a stop has to wait for. */
 size_t once_open(const struct node *node);
+
+/* Shared with once_entry.c. */
+
+enum {
+	/* Told to callers whose entry did not run for want of a slot or node.
+	 */
+	ONCE_RETRY_US = 500000,
+};
+
+/** enum forward_kind - what the issuer is asked for */
+enum forward_kind {
+	FORWARD_ENTRY,
+	FORWARD_LOOKUP,
+	FORWARD_TICKET,
+};
+
+void once_add_waiter(struct record *record, const struct waiter *waiter);
+void once_forward_to(struct node *node, uint64_t caller, const struct vm *vm,
+		     enum forward_kind kind, struct str body);
+bool once_is_final(const struct record *record);
+struct record *once_record_create(struct node *node, uint64_t seq,
+				  struct str body);
+struct record *once_record_find(const struct node *node, uint64_t seq);
+void once_reserve(struct node *node, struct record *record, int why);
+void once_set_not_run(struct node *node, struct record *record, int code);
+void once_tell(struct node *node, const struct waiter *waiter, int status,
+	       struct str body);
+void once_tell_plain(struct node *node, const struct waiter *waiter,
+		     struct str request_id, const char *outcome, int code,
+		     const char *text, int64_t retry_us, struct str ticket);
+void once_tell_record(struct node *node, const struct record *record,
+		      const struct waiter *waiter);
--- /dev/null
+++ b/once_entry.c
@@ -0,0 +1,296 @@
+#include "once.h"
+#include <stdlib.h>
+#include "gate.h"
+#include "quota.h"
+#include "ticket.h"
+#include "xmalloc.h"
+
+/* Requests. */
+
+static void start_record(struct node *node, struct record *record)
+{
+	const struct plan *plan =
+		node->lists ? lists_plan(node->lists, record->entry.customer)
+			    : NULL;
+	int64_t retry_us = 0;
+
+	timer_add(&node->timers, record->deadline, TIMER_RECORD, record->seq);
+	if (!node->fleet || member_isolated(node)) {
+		once_set_not_run(node, record, ERR_ISOLATED);
+		return;
+	}
+	if (!plan || !plan_allows(plan, record->entry.index, true)) {
+		once_set_not_run(node, record,
+				 plan ? ERR_NOT_ALLOWED : ERR_UNKNOWN_CUSTOMER);
+		return;
+	}
+	record->state = RECORD_QUOTA;
+	switch (quota_take(node, record->entry.customer, plan, record->seq,
+			   &retry_us)) {
+	case QUOTA_TAKEN:
+		once_reserve(node, record, 0);
+		break;
+	case QUOTA_WAIT:
+		break;
+	case QUOTA_REFUSED:
+		record->retry_us = retry_us;
+		once_set_not_run(node, record, ERR_OVER_PLAN);
+		break;
+	}
+}
+
+void once_quota(struct node *node, uint64_t seq, bool taken, int64_t retry_us)
+{
+	struct record *record = once_record_find(node, seq);
+
+	if (!record || record->state != RECORD_QUOTA)
+		return;
+	if (taken) {
+		once_reserve(node, record, 0);
+		return;
+	}
+	record->retry_us = retry_us;
+	once_set_not_run(node, record, ERR_OVER_PLAN);
+}
+
+static void join_record(struct node *node, struct record *record,
+			const struct entry *entry, bool lookup,
+			const struct waiter *waiter)
+{
+	bool same = record->customer == str_hash(entry->customer) &&
+		    str_eq(record->request_id, entry->request_id) &&
+		    (lookup || record->body_hash == str_hash(entry->entry));
+
+	if (!same) {
+		once_tell_plain(node, waiter, entry->request_id, "unknown",
+				ERR_TICKET_MISMATCH,
+				"the ticket was used for another entry", 0,
+				(struct str){ 0 });
+		return;
+	}
+	node->counters[CNT_ENTRIES_REPEATED]++;
+	if (once_is_final(record))
+		once_tell_record(node, record, waiter);
+	else
+		once_add_waiter(record, waiter);
+}
+
+static void run_here(struct node *node, const struct ticket *ticket,
+		     const struct entry *entry, struct str body, bool lookup,
+		     const struct waiter *waiter)
+{
+	struct record *record = once_record_find(node, ticket->seq);
+	int code = 0;
+
+	if (ticket->check !=
+	    ticket_check(node, ticket, entry->customer, entry->request_id)) {
+		once_tell_plain(
+			node, waiter, entry->request_id, "not_run",
+			ERR_TICKET_INVALID,
+			"the ticket does not fit request id and customer", 0,
+			(struct str){ 0 });
+		return;
+	}
+	if (record) {
+		join_record(node, record, entry, lookup, waiter);
+		return;
+	}
+	if (ticket->seq <= node->once->evicted)
+		code = ERR_ISSUER_GONE;
+	else if (node->now - ticket->issued_at >= TICKET_US)
+		code = ERR_TICKET_EXPIRED;
+	else if (lookup)
+		code = ERR_NOT_FOUND;
+	if (code) {
+		once_tell_plain(
+			node, waiter, entry->request_id,
+			code == ERR_ISSUER_GONE ? "unknown" : "not_run", code,
+			code == ERR_NOT_FOUND ? "the ticket was not used yet"
+					      : "",
+			0, (struct str){ 0 });
+		return;
+	}
+	node->counters[CNT_ENTRIES]++;
+	record = once_record_create(node, ticket->seq, body);
+	once_add_waiter(record, waiter);
+	start_record(node, record);
+}
+
+static struct vm *another_issuer(struct node *node)
+{
+	for (size_t i = 1; i < node->member->count; i++)
+		if (member_usable(node, node->member->vms[i]))
+			return node->member->vms[i];
+	return NULL;
+}
+
+/* Whether this node must not issue: a ticket would outlive it. */
+static bool may_issue(const struct node *node)
+{
+	return member_state(node) == VM_LIVE && !member_isolated(node);
+}
+
+static void require_ticket(struct node *node, const struct entry *entry,
+			   struct str body, const struct waiter *waiter)
+{
+	char text[TICKET_MAX];
+	struct str issued = ticket_issue(node, entry->customer,
+					 entry->request_id, text, sizeof(text));
+	struct ticket ticket;
+
+	if (node->opt.off.no_ticket && ticket_parse(issued, &ticket)) {
+		run_here(node, &ticket, entry, body, false, waiter);
+		return;
+	}
+	once_tell_plain(node, waiter, entry->request_id, "not_run",
+			ERR_TICKET_REQUIRED, "an entry needs a ticket", 0,
+			issued);
+}
+
+static void give_ticket(struct node *node, struct str body,
+			const struct waiter *waiter)
+{
+	struct buf out = { 0 };
+	char text[TICKET_MAX];
+	struct error err;
+	struct entry entry;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, node->once->pool);
+	if (entry_parse(body, true, pool, &entry, &err)) {
+		once_tell_plain(node, waiter, entry.request_id, "not_run",
+				err.code, err.text, 0, (struct str){ 0 });
+	} else if (!lists_plan(node->lists, entry.customer)) {
+		once_tell_plain(node, waiter, entry.request_id, "not_run",
+				ERR_UNKNOWN_CUSTOMER, "", 0, (struct str){ 0 });
+	} else {
+		buf_str_add(&out, STR("{\"request_id\":"));
+		buf_json_add(&out, entry.request_id);
+		ticket_issue(node, entry.customer, entry.request_id, text,
+			     sizeof(text));
+		buf_printf(&out, ",\"ticket\":\"%s\",\"valid_ms\":%d}", text,
+			   TICKET_US / 1000);
+		once_tell(node, waiter, 200, buf_str(&out));
+	}
+	buf_free(&out);
+	apr_pool_destroy(pool);
+}
+
+static bool pass_on(struct node *node, const struct waiter *waiter,
+		    enum forward_kind kind, struct str body)
+{
+	struct vm *other;
+
+	if (may_issue(node) || waiter->addr.len)
+		return false;
+	other = another_issuer(node);
+	if (!other)
+		return false;
+	once_forward_to(node, waiter->caller, other, kind, body);
+	return true;
+}
+
+static bool refuse_starting(struct node *node, const struct waiter *waiter)
+{
+	if (node->lists && node->fleet && member_state(node) != VM_STARTING)
+		return false;
+	once_tell_plain(node, waiter, (struct str){ 0 }, "not_run",
+			ERR_STARTING, "", ONCE_RETRY_US, (struct str){ 0 });
+	return true;
+}
+
+void once_ticket(struct node *node, uint64_t caller, struct str body)
+{
+	struct waiter waiter = { .caller = caller };
+
+	if (refuse_starting(node, &waiter) ||
+	    pass_on(node, &waiter, FORWARD_TICKET, body))
+		return;
+	give_ticket(node, body, &waiter);
+}
+
+static void route(struct node *node, struct str body, bool lookup,
+		  const struct waiter *waiter, const struct entry *entry)
+{
+	struct ticket ticket;
+	struct vm *issuer;
+
+	if (!entry->ticket.len && !lookup) {
+		if (!pass_on(node, waiter, FORWARD_ENTRY, body))
+			require_ticket(node, entry, body, waiter);
+		return;
+	}
+	if (!ticket_parse(entry->ticket, &ticket)) {
+		once_tell_plain(node, waiter, entry->request_id, "not_run",
+				ERR_TICKET_INVALID, "not a ticket", 0,
+				(struct str){ 0 });
+		return;
+	}
+	issuer = member_find(node, str_hash(ticket.addr));
+	if (str_eq(ticket.addr, node->opt.addr) &&
+	    ticket.incarnation == node->opt.incarnation) {
+		run_here(node, &ticket, entry, body, lookup, waiter);
+	} else if (issuer && issuer->incarnation == ticket.incarnation &&
+		   issuer->heard_at != INT64_MIN && !waiter->addr.len) {
+		once_forward_to(node, waiter->caller, issuer,
+				lookup ? FORWARD_LOOKUP : FORWARD_ENTRY, body);
+	} else {
+		/*
+		 * The issuer alone knows whether the entry ran. Running it
+		 * here could be the second run, so nobody else ever does.
+		 */
+		once_tell_plain(
+			node, waiter, entry->request_id, "unknown",
+			ERR_ISSUER_GONE,
+			"the VM that issued the ticket is gone or cut off", 0,
+			(struct str){ 0 });
+	}
+}
+
+static void handle(struct node *node, struct str body, bool lookup,
+		   const struct waiter *waiter)
+{
+	struct error err = { 0 };
+	struct entry entry;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, node->once->pool);
+	if (entry_parse(body, lookup, pool, &entry, &err))
+		once_tell_plain(node, waiter, entry.request_id, "not_run",
+				err.code, err.text, 0, (struct str){ 0 });
+	/*
+	 * What has a ticket may have run under it before: a node that has just
+	 * started cannot call it "not run", only its issuer can.
+	 */
+	else if (entry.ticket.len || !refuse_starting(node, waiter))
+		route(node, body, lookup, waiter, &entry);
+	apr_pool_destroy(pool);
+}
+
+void once_entry(struct node *node, uint64_t caller, struct str body)
+{
+	struct waiter waiter = { .caller = caller };
+
+	handle(node, body, false, &waiter);
+}
+
+void once_lookup(struct node *node, uint64_t caller, struct str body)
+{
+	struct waiter waiter = { .caller = caller };
+
+	handle(node, body, true, &waiter);
+}
+
+void once_forwarded(struct node *node, struct str from, uint64_t incarnation,
+		    const struct msg *msg)
+{
+	struct waiter waiter = { .addr = from,
+				 .incarnation = incarnation,
+				 .forward = msg->id };
+
+	if (msg->attempt != FORWARD_TICKET)
+		handle(node, msg->body, msg->attempt == FORWARD_LOOKUP,
+		       &waiter);
+	else if (!refuse_starting(node, &waiter))
+		give_ticket(node, msg->body, &waiter);
+}
--- a/roster.c
+++ b/roster.c
@@ -41,6 +41,20 @@
 	 * seconds of its return if their target lives.
 	 */
 	LAPSE_US = 2000000,
+	/*
+	 * A target whose address another one has is gone, but its entry may be
+	 * written a few times more. Longer than entries outlive their target.
+	 */
+	MOVED_US = 10000000,
+	/*
+	 * Without an answer for this long, or this multiple of its usual time,
+	 * and to so many requests, a target is silent: pauses are far shorter.
+	 */
+	SILENT_US = 400000,
+	SILENT_TIMES = 6,
+	SILENT_LEAST = 3,
+	/* It is tried this often. */
+	PROBE_US = 200000,
 	SECOND_US = 1000000,
 };
 
@@ -271,6 +285,21 @@
 	       target->cold_sent >= group->cold_per_second;
 }
 
+/*
+ * A target that lost power takes connections' bytes and answers nothing, while
+ * its entry stands for seconds. Asking it costs each question a hedge, and two
+ * such targets of a shard a wait that is known to be in vain.
+ */
+static bool is_silent(const struct live_target *target, int64_t now)
+{
+	int64_t patience = (int64_t)(target->service_us * SILENT_TIMES);
+
+	if (patience < SILENT_US)
+		patience = SILENT_US;
+	return target->unanswered >= SILENT_LEAST &&
+	       now - target->silent_since > patience;
+}
+
 enum target_use roster_use(const struct roster *roster,
 			   const struct live_target *target, int64_t now)
 {
@@ -279,6 +308,8 @@
 	if (apr_hash_get(roster->out, &target->domain_key,
 			 sizeof(target->domain_key)))
 		return USE_DOMAIN_OUT;
+	if (now < target->moved_until)
+		return USE_LEAVING;
 	/*
 	 * While the store was away entries lapse though their targets live.
 	 * Such a target is used until its entry would have been back.
@@ -289,6 +320,8 @@
 		return USE_LEAVING;
 	if (now < target->down_until)
 		return USE_DOWN;
+	if (is_silent(target, now) && now < target->probe_at)
+		return USE_SILENT;
 	if (cold_is_full(group, target, now))
 		return USE_COLD;
 	if (group && group->conns && target->inflight >= group->conns)
@@ -426,6 +459,9 @@
 	(void)roster;
 	if (!target->inflight++)
 		target->asked_at = now;
+	if (!target->unanswered++)
+		target->silent_since = now;
+	target->probe_at = now + PROBE_US;
 	if (now < target->cold_until) {
 		if (now - target->cold_second >= SECOND_US) {
 			target->cold_second = now;
@@ -458,6 +494,8 @@
 	target->inflight--;
 	/* The others were sent at this one's time or later. */
 	target->asked_at = target->inflight ? now : 0;
+	if (what != REPLY_DROPPED)
+		target->unanswered = 0;
 	switch (what) {
 	case REPLY_GOOD:
 		count_fault(target, false, now);
@@ -480,9 +518,7 @@
 		target->down_until = now + rest_us(target);
 		break;
 	case REPLY_OTHER:
-		target->listed = false;
-		if (!target->left_at)
-			target->left_at = now - LAPSE_US - 1;
+		target->moved_until = now + MOVED_US;
 		break;
 	case REPLY_DROPPED:
 		/* At least this long: a slow target must not look quick. */
--- a/roster.h
+++ b/roster.h
@@ -17,6 +17,7 @@
 	USE_LEAVING, /* it drains, or its entry is gone */
 	USE_DOMAIN_OUT,
 	USE_DOWN, /* took no connection just now */
+	USE_SILENT, /* answers nothing; tried now and then */
 	USE_COLD, /* has its share of requests for this second */
 	USE_BUSY, /* has as many requests of this node as its connections bear
 		   */
@@ -29,6 +30,8 @@
  * @near: in this node's failure domain
  * @listed: its entry is in the store
  * @left_at: when its entry went, or said that it is leaving; 0: it has not
+ * @moved_until: its address was found to be another target's, until then its
+ *               entry is not believed
  * @cold_until: it is cold until then
  * @down_until: takes no connections, and is not tried until then
  * @wary_until: failed or was full just now: others go first until then
@@ -37,6 +40,8 @@
  * @inflight: requests of this node that it has not answered
  * @asked_at: when the oldest of them was sent; 0 when there is none
  * @answered_at: when it last answered
+ * @silent_since: first request since then, 0 for none; @unanswered: how many
+ * @probe_at: when a silent one is next tried
  * @service_us: smoothed time from sending to the reply
  * @cold_second, @cold_sent: requests sent in the present second while cold
  */
@@ -52,6 +57,7 @@
 	bool near;
 	bool listed;
 	int64_t left_at;
+	int64_t moved_until;
 	int64_t cold_until;
 	int64_t down_until;
 	int64_t wary_until;
@@ -61,6 +67,9 @@
 	int inflight;
 	int64_t asked_at;
 	int64_t answered_at;
+	int64_t silent_since;
+	int unanswered;
+	int64_t probe_at;
 	double service_us;
 	int64_t service_at;
 	int64_t cold_second;
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -353,6 +353,60 @@
 }
 END_TEST
 
+/*
+ * A target takes requests and answers none, while its entry stands. It is
+ * tried now and then only, until it answers one.
+ */
+START_TEST(test_silent_target)
+{
+	struct roster *roster = roster_create(pool, STR("here"));
+	struct target_entry a = entry("a", "here");
+	int64_t now = 100 * (int64_t)SECOND_US;
+	struct live_target *target;
+
+	roster_put(roster, &a, now);
+	target = find(roster, "a");
+	for (int i = 0; i < 3; i++) {
+		ck_assert_int_eq(roster_use(roster, target, now), USE_OK);
+		roster_sent(roster, target, now);
+		now += 150000;
+		roster_answered(roster, target, REPLY_DROPPED, now - 150000,
+				now);
+	}
+	ck_assert_int_eq(roster_use(roster, target, now), USE_SILENT);
+	now += 200000;
+	ck_assert_int_eq(roster_use(roster, target, now), USE_OK);
+	roster_sent(roster, target, now);
+	ck_assert_int_eq(roster_use(roster, target, now), USE_SILENT);
+	roster_answered(roster, target, REPLY_GOOD, now, now + 9000);
+	ck_assert_int_eq(roster_use(roster, target, now + 9000), USE_OK);
+	roster_destroy(roster);
+}
+END_TEST
+
+/*
+ * Another target answers at its address. Its entry is written once more, by
+ * whoever; it gets nothing all the same, until it starts on another address.
+ */
+START_TEST(test_address_of_another)
+{
+	struct roster *roster = roster_create(pool, STR("here"));
+	struct target_entry a = entry("a", "here");
+	int64_t now = 100 * (int64_t)SECOND_US;
+
+	roster_put(roster, &a, now);
+	reply(roster, REPLY_OTHER, 1000, now);
+	roster_put(roster, &a, now + SECOND_US);
+	ck_assert_int_eq(roster_use(roster, find(roster, "a"), now + SECOND_US),
+			 USE_LEAVING);
+	a.addr = STR("10.0.0.2:1");
+	roster_put(roster, &a, now + SECOND_US);
+	ck_assert_int_eq(roster_use(roster, find(roster, "a"), now + SECOND_US),
+			 USE_OK);
+	roster_destroy(roster);
+}
+END_TEST
+
 /*
  * A cold target bears few requests a second; this node keeps to its part of
  * them, and may use it freely once it is warm.
@@ -481,6 +535,8 @@
 	tcase_add_test(tcase, test_configuration);
 	tcase_add_loop_test(tcase, test_choice, 0, COUNT(choice_cases));
 	tcase_add_test(tcase, test_target_starts_again);
+	tcase_add_test(tcase, test_silent_target);
+	tcase_add_test(tcase, test_address_of_another);
 	tcase_add_test(tcase, test_cold_target);
 	tcase_add_loop_test(tcase, test_reply_head, 0, COUNT(reply_cases));
 	tcase_add_loop_test(tcase, test_kept_headers, 0, COUNT(keep_cases));
