Questions that were held up on their way are not asked any more

The steady clock does not count a suspension and spans carry no age. Now the clock is CLOCK_BOOTTIME, a pause of the process is noticed, and frames carry the sender's clock, of which the least difference seen is the way itself and the rest delay. Ruled out: late cancels (they stand behind the question on the same link). The test of it fails without the check.

--- a/batch.c
+++ b/batch.c
@@ -338,8 +338,9 @@
 }
 
 void batch_asked(struct calls *calls, struct catalog *catalog, struct str from,
-		 uint64_t incarnation, const struct msg *msg)
+		 uint64_t incarnation, const struct msg *msg, int64_t late_us)
 {
+	int64_t remaining_us = msg->remaining_us - late_us;
 	struct flow_request request;
 	const struct route *route;
 	struct call *call;
@@ -347,16 +348,21 @@
 
 	apr_pool_create(&pool, calls->pool);
 	route = route_of(catalog, msg, &request, pool);
-	if (!route) {
+	/*
+	 * A connection that was cut, or a node that was frozen, brings
+	 * questions of seconds ago: nobody waits for them, and targets must not
+	 * work on.
+	 */
+	if (!route || remaining_us <= 0) {
 		refuse(calls, from, incarnation, msg->id);
 		apr_pool_destroy(pool);
 		return;
 	}
-	request.time_left_us = msg->remaining_us;
+	request.time_left_us = remaining_us;
 	call = call_create(calls, asked_bit | ++calls->next_id, &request,
 			   catalog, route);
-	call->start -= msg->wait_us;
-	call->give_up_at = calls->now + msg->remaining_us;
+	call->start -= msg->wait_us + late_us;
+	call->give_up_at = calls->now + remaining_us;
 	call->asker = str_dup(call->pool, from);
 	call->asker_incarnation = incarnation;
 	call->asker_id = msg->id;
--- a/batch.h
+++ b/batch.h
@@ -77,9 +77,12 @@
 /** batch_on_go() - the node at @from knows that second targets are asked. */
 void batch_on_go(struct calls *calls, struct str from, const struct msg *msg);
 
-/** batch_asked() - another node hands shards to this one. */
+/**
+ * batch_asked() - another node hands shards to this one
+ * @late_us: how long the message was held up on its way
+ */
 void batch_asked(struct calls *calls, struct catalog *catalog, struct str from,
-		 uint64_t incarnation, const struct msg *msg);
+		 uint64_t incarnation, const struct msg *msg, int64_t late_us);
 /** batch_cancelled() - it does not want them any more. */
 void batch_cancelled(struct calls *calls, struct str from,
 		     const struct msg *msg);
--- a/edge.c
+++ b/edge.c
@@ -207,7 +207,8 @@
 	apr_hash_set(edge->requests, &req->id, sizeof(req->id), req);
 	feed(edge, (struct flow_event){ .type = FLOW_REQUEST,
 					.id = req->id,
-					.request = &request });
+					.request = &request,
+					.held_us = loop_held_us(edge->loop) });
 	buf_free(&lines);
 }
 
@@ -244,12 +245,19 @@
 
 static void on_frame(void *ctx, const struct frame *frame)
 {
-	for (size_t i = 0; i < frame->count; i++)
-		feed(ctx, (struct flow_event){ .type = FLOW_MSG,
-					       .from = frame->from,
-					       .incarnation =
-						       frame->from_incarnation,
-					       .msg = &frame->msgs[i] });
+	struct edge *edge = ctx;
+	struct flow_event event = {
+		.type = FLOW_MSG,
+		.from = frame->from,
+		.incarnation = frame->from_incarnation,
+		.held_us = loop_held_us(edge->loop),
+		.sent_us = frame->sent_us,
+	};
+
+	for (size_t i = 0; i < frame->count; i++) {
+		event.msg = &frame->msgs[i];
+		feed(edge, event);
+	}
 }
 
 static void on_peer_lost(void *ctx, struct str addr)
--- a/flow.h
+++ b/flow.h
@@ -82,7 +82,12 @@
 	const struct store_reply *reply;
 };
 
-/** struct flow_event - one input; @now: monotonic microseconds */
+/**
+ * struct flow_event - one input
+ * @now: monotonic microseconds
+ * @held_us: a request or message may have waited this long before it was read
+ * @sent_us: a message was sent then, by the sender's clock
+ */
 struct flow_event {
 	enum flow_event_type type;
 	int64_t now;
@@ -94,6 +99,8 @@
 	struct str from;
 	uint64_t incarnation;
 	const struct msg *msg;
+	int64_t held_us;
+	int64_t sent_us;
 };
 
 enum flow_effect_type {
--- a/gossip.c
+++ b/gossip.c
@@ -132,6 +132,21 @@
 		member->unheard_since = 0;
 }
 
+int64_t gossip_delay(struct gossip *gossip, struct str addr,
+		     uint64_t incarnation, int64_t sent_us, int64_t now)
+{
+	struct member_info *member = gossip_find(gossip, addr);
+	int64_t gap = now - sent_us;
+
+	if (!member || !sent_us)
+		return 0;
+	if (member->clock_of != incarnation || gap < member->clock_gap) {
+		member->clock_of = incarnation;
+		member->clock_gap = gap;
+	}
+	return gap - member->clock_gap;
+}
+
 int gossip_count(const struct gossip *gossip)
 {
 	return gossip->most_live;
--- a/gossip.h
+++ b/gossip.h
@@ -23,6 +23,8 @@
  * @near: in this node's failure domain
  * @heard_at: when its beat last went up here
  * @unheard_since: first question since it was last heard, 0 for none
+ * @clock_of, @clock_gap: incarnation, and the least difference seen between its
+ *                       clock and this one's: what is more is delay
  * @open: questions that it has not answered
  * @rest_until: gets no questions until then
  */
@@ -32,6 +34,8 @@
 	bool near;
 	int64_t heard_at;
 	int64_t unheard_since;
+	uint64_t clock_of;
+	int64_t clock_gap;
 	int open;
 	int64_t rest_until;
 };
@@ -68,6 +72,12 @@
 		int64_t now);
 /** gossip_heard() - any message came from the node at @addr. */
 void gossip_heard(struct gossip *gossip, struct str addr);
+/**
+ * gossip_delay() - how much longer than the quickest one a message took that
+ * the node at @addr sent at @sent_us of its own clock
+ */
+int64_t gossip_delay(struct gossip *gossip, struct str addr,
+		     uint64_t incarnation, int64_t sent_us, int64_t now);
 /** gossip_count() - nodes that may hold a part of shared bounds. */
 int gossip_count(const struct gossip *gossip);
 bool gossip_is_live(const struct member_info *member, int64_t now);
--- a/loop.c
+++ b/loop.c
@@ -11,6 +11,8 @@
 	MAX_FDS = 16384,
 	MAX_HOOKS = 256,
 	MAX_WAIT_US = 100000,
+	/* A scheduler's delay, not a pause of the process. */
+	HELD_US = 300000,
 };
 
 struct watch {
@@ -32,13 +34,16 @@
 	struct watch *dead;
 	bool stopped;
 	int64_t round_at;
+	int64_t round_end_at;
+	int64_t held_us;
 };
 
 int64_t loop_now(void)
 {
 	struct timespec ts;
 
-	clock_gettime(CLOCK_MONOTONIC, &ts);
+	/* Time that the VM was suspended counts: others' deadlines went on. */
+	clock_gettime(CLOCK_BOOTTIME, &ts);
 	return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
 }
 
@@ -50,6 +55,7 @@
 	apr_pool_create(&pool, parent);
 	loop = apr_pcalloc(pool, sizeof(*loop));
 	loop->pool = pool;
+	loop->round_end_at = loop_now();
 	if (apr_pollset_create_ex(&loop->set, MAX_FDS, pool, 0,
 				  APR_POLLSET_EPOLL))
 		abort();
@@ -168,6 +174,7 @@
 
 	if (apr_pollset_poll(loop->set, wait_time(loop), &count, &ready))
 		count = 0;
+	loop->held_us = loop_now() - loop->round_end_at - MAX_WAIT_US;
 	loop->round_at = loop_now();
 	for (apr_int32_t i = 0; i < count; i++) {
 		struct watch *watch = ready[i].client_data;
@@ -179,6 +186,7 @@
 		if (loop->hooks[i].run)
 			loop->hooks[i].run(loop->hooks[i].ctx);
 	bury_dead(loop);
+	loop->round_end_at = loop_now();
 }
 
 void loop_run(struct loop *loop)
@@ -187,6 +195,11 @@
 		loop_step(loop);
 }
 
+int64_t loop_held_us(const struct loop *loop)
+{
+	return loop->held_us > HELD_US ? loop->held_us : 0;
+}
+
 int64_t loop_round_at(const struct loop *loop)
 {
 	return loop->round_at;
--- a/peer.c
+++ b/peer.c
@@ -192,6 +192,7 @@
 		.from = link->peers->addr,
 		.from_incarnation = link->peers->incarnation,
 		.to_incarnation = link->to,
+		.sent_us = loop_now(),
 		.msgs = link->queue,
 		.count = link->queued,
 	};
--- a/tests/check_tier.c
+++ b/tests/check_tier.c
@@ -286,6 +286,28 @@
 }
 END_TEST
 
+/*
+ * A node freezes just as it is handed shards, for longer than the caller waits.
+ * When it wakes the question is over, and no target gets its shards any more.
+ */
+START_TEST(test_stale_batch)
+{
+	struct stage *stage = begin(NODES);
+	int index;
+	int sent;
+
+	for (int i = 1; i < NODES; i++)
+		stage->nodes[i].frozen_until = stage->now + 3 * SECOND_US;
+	index = stage_call(stage, 0, STAGE_MERGED);
+	stage_run(stage, 2 * SECOND_US);
+	sent = stage->first_sends + stage->extra_sends;
+	ck_assert_int_eq(stage->calls[index].status, 200);
+	stage_run(stage, 3 * SECOND_US);
+	ck_assert_int_eq(stage->first_sends + stage->extra_sends, sent);
+	stage_destroy(stage);
+}
+END_TEST
+
 /*
  * The index is cut into other shards while questions are under way: each
  * answer holds parts of one version only, whichever nodes have which.
@@ -537,6 +559,7 @@
 	tcase_add_test(tcase, test_once_goes_on);
 	tcase_add_loop_test(tcase, test_merging_node_lost, 0,
 			    COUNT(node_faults));
+	tcase_add_test(tcase, test_stale_batch);
 	tcase_add_test(tcase, test_reshard);
 	tcase_add_test(tcase, test_domain_out);
 	tcase_add_test(tcase, test_leaving);
--- a/tests/stage.c
+++ b/tests/stage.c
@@ -45,6 +45,7 @@
 	struct flow_reply reply;
 	struct msg msg;
 	int target;
+	int64_t sent_us;
 	enum store_call call;
 	uint64_t revision;
 	bool store_ok;
@@ -345,6 +346,10 @@
 	struct stage_node *n = &stage->nodes[node];
 
 	event.now = stage->now;
+	if (stage->now == n->frozen_until)
+		event.held_us = stage->now - n->last_at;
+	else
+		n->last_at = stage->now;
 	tier_reduce(n->tier, &event, &n->fx);
 	carry_out(stage, node);
 }
@@ -385,6 +390,7 @@
 	happen->from = node;
 	happen->incarnation = stage->nodes[node].incarnation;
 	happen->to_incarnation = fx->incarnation;
+	happen->sent_us = stage->now;
 	happen->msg = fx->msg;
 	happen->msg.body = str_keep(fx->msg.body);
 	happen->msg.name = str_keep(fx->msg.name);
@@ -754,6 +760,7 @@
 			     .type = FLOW_MSG,
 			     .from = str_of(stage->nodes[happen->from].addr),
 			     .incarnation = happen->incarnation,
+			     .sent_us = happen->sent_us,
 			     .msg = &happen->msg });
 		break;
 	case HAPPEN_LOST:
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -69,6 +69,7 @@
 	bool up;
 	bool store_cut;
 	int64_t frozen_until;
+	int64_t last_at;
 	bool ready;
 	bool exited;
 	uint64_t incarnation;
--- a/tier.c
+++ b/tier.c
@@ -119,9 +119,22 @@
 	buf_free(&body);
 }
 
-static void on_request(struct tier *tier, const struct flow_event *event)
+/*
+ * What is read after the process was frozen may have waited as long; the rest
+ * of its time may be over. It has not run, and the caller can be told so.
+ */
+static bool is_stale(const struct flow_event *event)
 {
 	const struct flow_request *request = event->request;
+
+	return event->held_us && request->time_left_us >= 0 &&
+	       request->time_left_us <= event->held_us;
+}
+
+static void on_request(struct tier *tier, const struct flow_event *event)
+{
+	struct flow_request copy = *event->request;
+	const struct flow_request *request = &copy;
 	const struct route *route;
 	struct call *call;
 
@@ -130,6 +143,13 @@
 			     "no configuration yet", STARTING_RETRY_US);
 		return;
 	}
+	if (is_stale(event)) {
+		refuse_early(tier, event->id, 503, ERR_OVERLOADED,
+			     "this node was paused", STARTING_RETRY_US);
+		return;
+	}
+	if (copy.time_left_us >= 0)
+		copy.time_left_us -= event->held_us;
 	route = catalog_route(tier->dir.catalog, request->host, request->uri);
 	if (!route) {
 		refuse_early(tier, event->id, 404, ERR_NOT_FOUND,
@@ -220,6 +240,12 @@
 	const struct msg *msg = event->msg;
 	struct flow_effect *fx;
 
+	int64_t late_us =
+		gossip_delay(&tier->gossip, event->from, event->incarnation,
+			     event->sent_us, event->now);
+
+	if (late_us < event->held_us)
+		late_us = event->held_us;
 	gossip_heard(&tier->gossip, event->from);
 	switch (msg->kind) {
 	case MSG_GOSSIP:
@@ -238,7 +264,7 @@
 		break;
 	case MSG_ASK:
 		batch_asked(&tier->calls, tier->dir.catalog, event->from,
-			    event->incarnation, msg);
+			    event->incarnation, msg, late_us);
 		break;
 	case MSG_ASK_REPLY:
 		batch_on_reply(&tier->calls, event->from, msg);
--- a/wire.c
+++ b/wire.c
@@ -97,6 +97,7 @@
 	wire.from = to_bytes(frame->from);
 	wire.from_incarnation = frame->from_incarnation;
 	wire.to_incarnation = frame->to_incarnation;
+	wire.sent_us = (uint64_t)frame->sent_us;
 	wire.n_msgs = frame->count;
 	wire.msgs = ptrs;
 
@@ -158,6 +159,7 @@
 	frame->from = from_bytes(wire->from);
 	frame->from_incarnation = wire->from_incarnation;
 	frame->to_incarnation = wire->to_incarnation;
+	frame->sent_us = (int64_t)wire->sent_us;
 	frame->count = wire->n_msgs;
 	frame->msgs = xcalloc(wire->n_msgs, sizeof(*frame->msgs));
 	for (size_t i = 0; i < wire->n_msgs; i++)
--- a/wire.h
+++ b/wire.h
@@ -22,6 +22,7 @@
  * @from: sender's address; points into memory that frame_free() releases
  * @from_incarnation: sender's incarnation
  * @to_incarnation: receiver it is meant for, 0 for any
+ * @sent_us: when it was sent, by the sender's monotonic clock
  * @msgs: the messages
  * @count: how many
  */
@@ -29,6 +30,7 @@
 	struct str from;
 	uint64_t from_incarnation;
 	uint64_t to_incarnation;
+	int64_t sent_us;
 	struct msg *msgs;
 	size_t count;
 	void *owner;
--- a/wire.pb-c.c
+++ b/wire.pb-c.c
@@ -633,7 +633,7 @@
   (ProtobufCMessageInit) wire__msg__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__frame__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wire__frame__field_descriptors[5] =
 {
   {
     "from",
@@ -683,17 +683,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Frame, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__frame__field_indices_by_name[] = {
   0,   /* field[0] = from */
   1,   /* field[1] = from_incarnation */
   3,   /* field[3] = msgs */
+  4,   /* field[4] = sent_us */
   2,   /* field[2] = to_incarnation */
 };
 static const ProtobufCIntRange wire__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wire__frame__descriptor =
 {
@@ -703,7 +716,7 @@
   "Wire__Frame",
   "wire",
   sizeof(Wire__Frame),
-  4,
+  5,
   wire__frame__field_descriptors,
   wire__frame__field_indices_by_name,
   1,  wire__frame__number_ranges,
--- a/wire.pb-c.h
+++ b/wire.pb-c.h
@@ -99,10 +99,14 @@
   uint64_t to_incarnation;
   size_t n_msgs;
   Wire__Msg **msgs;
+  /*
+   * sender's monotonic clock
+   */
+  uint64_t sent_us;
 };
 #define WIRE__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__frame__descriptor) \
-    , {0,NULL}, 0, 0, 0,NULL }
+    , {0,NULL}, 0, 0, 0,NULL, 0 }
 
 
 /*
