--- a/directory.c
+++ b/directory.c
@@ -7,14 +7,21 @@
 
 enum {
 	/*
-	 * Connections of this node to a target, even where more nodes than
-	 * that would share them: not all nodes use all targets at a time.
+	 * Connections of this node to a target, even where more nodes than that
+	 * would share them: not all nodes use all targets at a time.
 	 */
-	CONNS_LEAST = 2,
+	NEAR_CONNS_LEAST = 3,
+	FAR_CONNS_LEAST = 1,
 };
 
-/* Of a target's connections; the rest is for nodes not heard of yet. */
-static const double CONNS_PART = 0.8;
+/*
+ * Of a target's connections, all nodes together. When all VMs lose power their
+ * targets hold the old connections until these have been idle for long, and
+ * reset new ones beyond their cap: a third of all requests in the first eight
+ * seconds after it. So less than half is used.
+ */
+static const double NEAR_CONNS_PART = 0.3;
+static const double FAR_CONNS_PART = 0.1;
 
 void directory_init(struct directory *dir, apr_pool_t *pool,
 		    const struct dialect *dialect, struct roster *roster,
@@ -68,11 +75,12 @@
 	return mine > 0 ? mine : 1;
 }
 
-static int conn_part(const struct directory *dir, int max_conns)
+static int conn_part(const struct directory *dir, int max_conns, double part,
+		     int least)
 {
-	int mine = (int)(max_conns * CONNS_PART) / dir->nodes;
+	int mine = (int)(max_conns * part) / dir->nodes;
 
-	return mine > CONNS_LEAST ? mine : CONNS_LEAST;
+	return mine > least ? mine : least;
 }
 
 void directory_bounds(struct directory *dir, int nodes)
@@ -86,7 +94,10 @@
 					  ? cold_part(dir, service->cold_per_s)
 					  : 0);
 		roster_conn_bound(dir->roster, service->key,
-				  conn_part(dir, service->max_conns));
+				  conn_part(dir, service->max_conns,
+					    NEAR_CONNS_PART, NEAR_CONNS_LEAST),
+				  conn_part(dir, service->max_conns,
+					    FAR_CONNS_PART, FAR_CONNS_LEAST));
 	}
 }
 
--- a/edge.c
+++ b/edge.c
@@ -24,7 +24,11 @@
 	SETTINGS_MAX = 256 * 1024,
 	/* Until the configuration in force says what callers may send. */
 	BODY_MAX = 256 * 1024,
-	CONNECT_US = 1000000,
+	/*
+	 * A target that is up accepts within a few ms; one without power never.
+	 * Nothing has been sent by then, so another one may have the request.
+	 */
+	CONNECT_US = 150000,
 	/* Settings may change without a signal: their file is looked at. */
 	SETTINGS_LOOK_US = 1000000,
 	/* What is answered last may still be on its way to the sockets. */
@@ -137,6 +141,7 @@
 		.echo_name = edge->dialect->names.request_id,
 		.echo = fx->request->request_id,
 		.no_body = str_eq(fx->request->method, STR("HEAD")),
+		.brief = fx->brief,
 		.connect_us = CONNECT_US,
 		.timeout_us = fx->timeout_us,
 	};
--- a/roster.c
+++ b/roster.c
@@ -65,7 +65,8 @@
 	uint64_t service;
 	struct live_target *first;
 	int cold_per_second;
-	int conns;
+	int near_conns;
+	int far_conns;
 };
 
 struct roster {
@@ -263,9 +264,23 @@
 	group_get(roster, service)->cold_per_second = per_second;
 }
 
-void roster_conn_bound(struct roster *roster, uint64_t service, int conns)
+void roster_conn_bound(struct roster *roster, uint64_t service, int near,
+		       int far)
 {
-	group_get(roster, service)->conns = conns;
+	struct group *group = group_get(roster, service);
+
+	group->near_conns = near;
+	group->far_conns = far;
+}
+
+static bool is_busy(const struct group *group, const struct live_target *target)
+{
+	int most;
+
+	if (!group)
+		return false;
+	most = target->near ? group->near_conns : group->far_conns;
+	return most && target->inflight >= most;
 }
 
 /* Choice. */
@@ -324,7 +339,7 @@
 		return USE_SILENT;
 	if (cold_is_full(group, target, now))
 		return USE_COLD;
-	if (group && group->conns && target->inflight >= group->conns)
+	if (is_busy(group, target))
 		return USE_BUSY;
 	return USE_OK;
 }
--- a/roster.h
+++ b/roster.h
@@ -109,8 +109,12 @@
  * target of @service; 0 for no bound
  */
 void roster_cold_bound(struct roster *roster, uint64_t service, int per_second);
-/** roster_conn_bound() - requests of this node that a target may have. */
-void roster_conn_bound(struct roster *roster, uint64_t service, int conns);
+/**
+ * roster_conn_bound() - requests of this node that a target may have, if it is
+ * in this failure domain and if it is not
+ */
+void roster_conn_bound(struct roster *roster, uint64_t service, int near,
+		       int far);
 
 /**
  * roster_choose() - best target for a request, or NULL when none may have it
--- a/upstream.h
+++ b/upstream.h
@@ -31,6 +31,7 @@
  *                    another value belongs to an earlier request and is
  *                    skipped. Not checked when @echo is empty or absent there
  * @no_body: the reply has no body whatever its head says
+ * @brief: the connection is kept for a short time only
  * @connect_us, @timeout_us: until a connection stands, until the whole reply
  */
 struct upstream_request {
@@ -41,6 +42,7 @@
 	struct str echo_name;
 	struct str echo;
 	bool no_body;
+	bool brief;
 	int64_t connect_us;
 	int64_t timeout_us;
 };
