--- a/directory.c
+++ b/directory.c
@@ -10,7 +10,7 @@
 	 * Connections of this node to a target, even where more nodes than that
 	 * would share them: not all nodes use all targets at a time.
 	 */
-	NEAR_CONNS_LEAST = 3,
+	NEAR_CONNS_LEAST = 2,
 	FAR_CONNS_LEAST = 1,
 };
 
@@ -75,10 +75,11 @@
 	return mine > 0 ? mine : 1;
 }
 
-static int conn_part(const struct directory *dir, int max_conns, double part,
-		     int least)
+int directory_conns(int max_conns, int nodes, bool near)
 {
-	int mine = (int)(max_conns * part) / dir->nodes;
+	double part = near ? NEAR_CONNS_PART : FAR_CONNS_PART;
+	int least = near ? NEAR_CONNS_LEAST : FAR_CONNS_LEAST;
+	int mine = (int)(max_conns * part) / nodes;
 
 	return mine > least ? mine : least;
 }
@@ -93,11 +94,10 @@
 				  service->cold_per_s > 0
 					  ? cold_part(dir, service->cold_per_s)
 					  : 0);
-		roster_conn_bound(dir->roster, service->key,
-				  conn_part(dir, service->max_conns,
-					    NEAR_CONNS_PART, NEAR_CONNS_LEAST),
-				  conn_part(dir, service->max_conns,
-					    FAR_CONNS_PART, FAR_CONNS_LEAST));
+		roster_conn_bound(
+			dir->roster, service->key,
+			directory_conns(service->max_conns, dir->nodes, true),
+			directory_conns(service->max_conns, dir->nodes, false));
 	}
 }
 
--- a/directory.h
+++ b/directory.h
@@ -59,6 +59,8 @@
 void directory_whole(struct directory *dir, uint64_t revision, int64_t now);
 /** directory_bounds() - this node's parts of targets' bounds. */
 void directory_bounds(struct directory *dir, int nodes);
+/** directory_conns() - this node's part of a target's connections. */
+int directory_conns(int max_conns, int nodes, bool near);
 /** directory_pack() - all that changed after revision @since. */
 void directory_pack(const struct directory *dir, uint64_t since,
 		    struct buf *out);
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -8,6 +8,7 @@
 #include <check.h>
 
 #include "../budget.h"
+#include "../directory.h"
 #include "../head.h"
 #include "../platform/platform.h"
 #include "../records.h"
@@ -434,6 +435,35 @@
 }
 END_TEST
 
+/** struct fleet_case - nodes, how many beside a target, its connections */
+struct fleet_case {
+	int nodes;
+	int near;
+	int max_conns;
+};
+
+static const struct fleet_case fleet_cases[] = {
+	{ 6, 2, 25 },  { 6, 2, 34 },   { 9, 3, 26 },   { 9, 3, 110 },
+	{ 2, 1, 400 }, { 1, 1, 1000 }, { 12, 3, 430 },
+};
+
+/*
+ * All VMs lose power and come back while targets still hold the connections of
+ * before: old and new ones together stay below a target's bound, else it resets
+ * the new ones for as long as it keeps idle ones.
+ */
+START_TEST(test_connections_twice)
+{
+	const struct fleet_case *c = &fleet_cases[_i];
+	int all = c->near * directory_conns(c->max_conns, c->nodes, true) +
+		  (c->nodes - c->near) *
+			  directory_conns(c->max_conns, c->nodes, false);
+
+	ck_assert_int_gt(all, 0);
+	ck_assert_int_le(2 * all, c->max_conns);
+}
+END_TEST
+
 /* Heads. */
 
 struct reply_case {
@@ -538,6 +568,8 @@
 	tcase_add_test(tcase, test_silent_target);
 	tcase_add_test(tcase, test_address_of_another);
 	tcase_add_test(tcase, test_cold_target);
+	tcase_add_loop_test(tcase, test_connections_twice, 0,
+			    COUNT(fleet_cases));
 	tcase_add_loop_test(tcase, test_reply_head, 0, COUNT(reply_cases));
 	tcase_add_loop_test(tcase, test_kept_headers, 0, COUNT(keep_cases));
 	tcase_add_loop_test(tcase, test_time_left, 0, COUNT(time_cases));
