One copy of what is asked of the system, and of walking a table; lint clean

Cause: sockets, signals and random numbers stood in two shells each, and the four lines that read a table's iterator in some thirty places.

--- a/batch.c
+++ b/batch.c
@@ -279,11 +279,8 @@
 
 	for (it = apr_hash_first(NULL, calls->batches->open); it;
 	     it = apr_hash_next(it)) {
-		void *value;
-		struct batch *batch;
+		struct batch *batch = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
-		batch = value;
 		if (str_eq(batch->addr, addr))
 			return batch;
 	}
@@ -385,11 +382,8 @@
 
 	for (it = apr_hash_first(NULL, calls->open); it;
 	     it = apr_hash_next(it)) {
-		void *value;
-		struct call *call;
+		struct call *call = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
-		call = value;
 		if (call->asker_id == id && str_eq(call->asker, from))
 			return call;
 	}
--- a/budget.c
+++ b/budget.c
@@ -49,9 +49,8 @@
 
 	for (it = apr_hash_first(NULL, budget->tallies); it;
 	     it = apr_hash_next(it)) {
-		void *tally;
+		void *tally = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &tally);
 		free(tally);
 	}
 	apr_pool_destroy(budget->pool);
--- a/call.c
+++ b/call.c
@@ -28,9 +28,8 @@
 	apr_hash_index_t *it;
 
 	for (it = apr_hash_first(NULL, hash); it; it = apr_hash_next(it)) {
-		void *value;
+		void *value = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
 		free(value);
 	}
 }
@@ -41,11 +40,8 @@
 
 	for (it = apr_hash_first(NULL, calls->open); it;
 	     it = apr_hash_next(it)) {
-		void *value;
-		struct call *call;
+		struct call *call = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
-		call = value;
 		call->next_dead = calls->dead;
 		calls->dead = call;
 	}
--- a/catalog.c
+++ b/catalog.c
@@ -34,9 +34,14 @@
 /* Host names are case-insensitive, and a port is no part of the name. */
 static bool host_is(struct str host, struct str name)
 {
-	const char *colon = memchr(host.ptr ? host.ptr : "", ':', host.len);
-	size_t len = colon ? (size_t)(colon - host.ptr) : host.len;
+	const char *colon;
+	size_t len = host.len;
 
+	if (!host.ptr)
+		return false;
+	colon = memchr(host.ptr, ':', host.len);
+	if (colon)
+		len = (size_t)(colon - host.ptr);
 	return len == name.len && !strncasecmp(host.ptr, name.ptr, len);
 }
 
--- a/directory.c
+++ b/directory.c
@@ -40,11 +40,8 @@
 	apr_hash_index_t *it;
 
 	for (it = apr_hash_first(NULL, dir->keys); it; it = apr_hash_next(it)) {
-		void *value;
-		struct held_key *held;
+		struct held_key *held = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
-		held = value;
 		str_free(held->key);
 		str_free(held->value);
 		free(held);
@@ -110,11 +107,8 @@
 	size_t count = 0;
 
 	for (it = apr_hash_first(NULL, dir->keys); it; it = apr_hash_next(it)) {
-		void *value;
-		const struct held_key *held;
+		const struct held_key *held = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
-		held = value;
 		if (held->revision <= since)
 			continue;
 		items[count].key = held->key;
@@ -233,11 +227,8 @@
 	apr_hash_index_t *it;
 
 	for (it = apr_hash_first(NULL, dir->keys); it; it = apr_hash_next(it)) {
-		void *value;
-		struct held_key *held;
+		struct held_key *held = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
-		held = value;
 		if (held->deleted || held->round == dir->round ||
 		    held->revision > revision)
 			continue;
--- a/edge.c
+++ b/edge.c
@@ -4,14 +4,13 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <sys/random.h>
-#include <sys/signalfd.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
 #include "config.h"
 #include "head.h"
 #include "http.h"
+#include "os.h"
 #include "peer.h"
 #include "tier.h"
 #include "upstream.h"
@@ -384,7 +383,7 @@
 	if (now < edge->settings_looked_at + SETTINGS_LOOK_US)
 		return;
 	edge->settings_looked_at = now;
-	if (stat(path, &st))
+	if (!path || stat(path, &st))
 		return;
 	if (st.st_mtim.tv_sec != edge->settings_time.tv_sec ||
 	    st.st_mtim.tv_nsec != edge->settings_time.tv_nsec)
@@ -394,31 +393,26 @@
 static void on_signal(void *ctx, int events)
 {
 	struct edge *edge = ctx;
-	struct signalfd_siginfo info;
+	int number = os_signal(edge->signal_fd);
 
 	(void)events;
-	if (read(edge->signal_fd, &info, sizeof(info)) != sizeof(info))
+	if (!number)
 		return;
-	if (info.ssi_signo == SIGHUP) {
+	if (number == SIGHUP) {
 		reload(edge, "SIGHUP");
 		return;
 	}
-	LOG_INFO("signal %u: planned stop", info.ssi_signo);
+	LOG_INFO("signal %d: planned stop", number);
 	http_closing(edge->callers, true);
 	feed(edge, (struct flow_event){ .type = FLOW_STOP });
 }
 
 static void watch_signals(struct edge *edge)
 {
-	sigset_t set;
-
-	signal(SIGPIPE, SIG_IGN);
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	sigaddset(&set, SIGHUP);
-	sigprocmask(SIG_BLOCK, &set, NULL);
-	edge->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+
+	edge->signal_fd =
+		os_signals(numbers, sizeof(numbers) / sizeof(*numbers));
 	edge->signals = loop_add(edge->loop, edge->signal_fd, APR_POLLIN,
 				 on_signal, edge);
 }
@@ -516,24 +510,13 @@
 	return edge->metrics ? 0 : err->code;
 }
 
-static uint64_t random_u64(void)
-{
-	uint64_t value = 0;
-
-	if (getrandom(&value, sizeof(value), 0) != sizeof(value)) {
-		LOG_ERR("getrandom: %s", strerror(errno));
-		abort();
-	}
-	return value;
-}
-
 static int start(struct edge *edge, const struct edge_options *opt,
 		 struct error *err)
 {
 	struct tier_options tier = { .dialect = edge->dialect,
 				     .settings = &edge->settings,
-				     .incarnation = random_u64() >> 1 | 1,
-				     .seed = random_u64() };
+				     .incarnation = os_random() >> 1 | 1,
+				     .seed = os_random() };
 	int code = load_settings(edge, &edge->settings, err);
 
 	if (code)
--- a/front.c
+++ b/front.c
@@ -181,8 +181,6 @@
 	return !q->open_leafs || (q->soft_passed && floor_met(q));
 }
 
-void front_start_leafs(struct node *node, struct question *q);
-
 /*
  * A snapshot that its targets no longer have cannot reach the floor. All of
  * the question starts once more on another one, never a part of it.
--- a/gossip.c
+++ b/gossip.c
@@ -36,7 +36,7 @@
 	char text[INET_ADDRSTRLEN] = "";
 	struct in_addr in = { 0 };
 
-	if (ip.len >= sizeof(text))
+	if (!ip.ptr || ip.len >= sizeof(text))
 		return 0;
 	memcpy(text, ip.ptr, ip.len);
 	return inet_pton(AF_INET, text, &in) == 1 ? ntohl(in.s_addr) : 0;
@@ -88,9 +88,8 @@
 
 	for (it = apr_hash_first(NULL, gossip->members); it;
 	     it = apr_hash_next(it)) {
-		void *member;
+		void *member = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &member);
 		free(member);
 	}
 }
@@ -162,11 +161,8 @@
 	gossip->near_live = 1;
 	for (it = apr_hash_first(NULL, gossip->members); it;
 	     it = apr_hash_next(it)) {
-		void *value;
-		struct member_info *member;
+		struct member_info *member = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
-		member = value;
 		if (now - member->heard_at < COUNT_US)
 			counted++;
 		if (gossip_is_live(member, now))
@@ -195,11 +191,8 @@
 	list[count++] = gossip->self;
 	for (it = apr_hash_first(NULL, gossip->members); it;
 	     it = apr_hash_next(it)) {
-		void *value;
-		struct member_info *member;
+		struct member_info *member = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
-		member = value;
 		/* What is down must not be heard of again from old news. */
 		if (is_up(member, now) && (all || member->near))
 			list[count++] = member->entry;
@@ -226,12 +219,9 @@
 
 	for (it = apr_hash_first(NULL, gossip->members); it;
 	     it = apr_hash_next(it)) {
-		void *value;
-		struct member_info *member;
+		struct member_info *member = hash_value(it);
 		size_t place;
 
-		apr_hash_this(it, NULL, NULL, &value);
-		member = value;
 		if (member->near != near || now - member->heard_at >= COUNT_US)
 			continue;
 		place = seen++;
@@ -300,11 +290,8 @@
 	parcel_members(&gossip->self, 1, &body);
 	for (it = apr_hash_first(NULL, gossip->members); it;
 	     it = apr_hash_next(it)) {
-		void *value;
-		struct member_info *member;
+		struct member_info *member = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
-		member = value;
 		if (gossip_is_live(member, now))
 			tell(gossip, member->addr, buf_str(&body));
 	}
@@ -381,11 +368,8 @@
 
 	for (it = apr_hash_first(NULL, gossip->members); it;
 	     it = apr_hash_next(it)) {
-		void *value;
-		const struct member_info *member;
+		const struct member_info *member = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
-		member = value;
 		if (member->entry.domain == gossip->self.domain &&
 		    member->entry.ip < gossip->self.ip &&
 		    (member->entry.state & MEMBER_READS) &&
--- a/peer.c
+++ b/peer.c
@@ -1,15 +1,13 @@
 #include "peer.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <apr_hash.h>
 
-#include "config.h"
+#include "os.h"
 #include "xmalloc.h"
 
 enum {
@@ -129,35 +127,13 @@
 	link_write(link);
 }
 
-static int open_socket(struct str addr, struct sockaddr_in *sin)
-{
-	unsigned int silent_ms = SILENT_US / 1000;
-	char ip[INET_ADDRSTRLEN];
-	uint16_t port;
-	int one = 1;
-	int fd;
-
-	if (addr_split(addr, ip, sizeof(ip), &port))
-		return -1;
-	*sin = (struct sockaddr_in){ .sin_family = AF_INET };
-	inet_pton(AF_INET, ip, &sin->sin_addr);
-	sin->sin_port = htons(port);
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return fd;
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms,
-		   sizeof(silent_ms));
-	return fd;
-}
-
 static void link_open(struct link *link)
 {
 	struct sockaddr_in sin;
 
 	if (link->fd >= 0 || loop_now() < link->retry_at)
 		return;
-	link->fd = open_socket(link->addr, &sin);
+	link->fd = os_socket(link->addr, SILENT_US / 1000, &sin);
 	if (link->fd < 0)
 		return;
 	link->connecting = true;
@@ -364,7 +340,7 @@
 	struct sockaddr_in sin;
 	int one = 1;
 
-	peers->fd = open_socket(addr, &sin);
+	peers->fd = os_socket(addr, SILENT_US / 1000, &sin);
 	setsockopt(peers->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (peers->fd < 0 ||
 	    bind(peers->fd, (struct sockaddr *)&sin, sizeof(sin)) ||
--- a/roster.c
+++ b/roster.c
@@ -108,17 +108,15 @@
 
 	for (it = apr_hash_first(NULL, roster->targets); it;
 	     it = apr_hash_next(it)) {
-		void *target;
+		void *target = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &target);
 		free_strings(target);
 		free(target);
 	}
 	for (it = apr_hash_first(NULL, roster->groups); it;
 	     it = apr_hash_next(it)) {
-		void *group;
+		void *group = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &group);
 		free(group);
 	}
 	apr_pool_destroy(roster->pool);
@@ -198,7 +196,7 @@
 
 	if (target && !is_same(target, entry)) {
 		/* Requests under way still point to it. */
-		if (target->inflight) {
+		if (target->open) {
 			unlink_target(roster, target);
 			apr_hash_set(roster->targets, &target->key,
 				     sizeof(target->key), NULL);
@@ -280,7 +278,7 @@
 	if (!group)
 		return false;
 	most = target->near ? group->near_conns : group->far_conns;
-	return most && target->inflight >= most;
+	return most && target->open >= most;
 }
 
 /* Choice. */
@@ -378,7 +376,7 @@
 	double us = remembered_us(target, now);
 	int64_t age = target->asked_at ? now - target->asked_at : 0;
 	int slots = target->slots > 0 ? target->slots : 1;
-	double queued = (double)target->inflight / slots;
+	double queued = (double)target->open / slots;
 	int64_t expected = (int64_t)(us * (1 + queued));
 
 	if (age > (int64_t)(us * OVERDUE_TIMES))
@@ -472,7 +470,7 @@
 void roster_sent(struct roster *roster, struct live_target *target, int64_t now)
 {
 	(void)roster;
-	if (!target->inflight++)
+	if (!target->open++)
 		target->asked_at = now;
 	if (!target->unanswered++)
 		target->silent_since = now;
@@ -506,9 +504,9 @@
 void roster_answered(struct roster *roster, struct live_target *target,
 		     enum target_reply what, int64_t sent_at, int64_t now)
 {
-	target->inflight--;
+	target->open--;
 	/* The others were sent at this one's time or later. */
-	target->asked_at = target->inflight ? now : 0;
+	target->asked_at = target->open ? now : 0;
 	if (what != REPLY_DROPPED)
 		target->unanswered = 0;
 	switch (what) {
@@ -541,10 +539,10 @@
 			smooth(target, now - sent_at, now);
 		break;
 	}
-	if (!target->inflight && !target->service) {
+	if (!target->open && !target->service) {
 		free_strings(target);
 		free(target);
-	} else if (!target->inflight && !target->listed &&
+	} else if (!target->open && !target->listed &&
 		   now - target->left_at > 2 * LAPSE_US) {
 		forget(roster, target);
 	}
--- a/roster.h
+++ b/roster.h
@@ -37,7 +37,7 @@
  * @wary_until: failed or was full just now: others go first until then
  * @failures: in a row
  * @faults: smoothed share of requests that it did not serve, at @faults_at
- * @inflight: requests of this node that it has not answered
+ * @open: requests of this node that it has not answered
  * @asked_at: when the oldest of them was sent; 0 when there is none
  * @answered_at: when it last answered
  * @silent_since: first request since then, 0 for none; @unanswered: how many
@@ -64,7 +64,7 @@
 	int failures;
 	double faults;
 	int64_t faults_at;
-	int inflight;
+	int open;
 	int64_t asked_at;
 	int64_t answered_at;
 	int64_t silent_since;
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -17,6 +17,7 @@
 	2>/dev/null >"${TMPDIR:-/tmp}/tidy.$$" || fail=1
 cat "${TMPDIR:-/tmp}/tidy.$$"
 rm -f "${TMPDIR:-/tmp}/tidy.$$"
-codespell --quiet-level=3 $sources $(git ls-files '*.md' '*.py' '*.sh' \
+# TE is the name of an HTTP header.
+codespell --quiet-level=3 --ignore-words-list=te $sources $(git ls-files '*.md' '*.py' '*.sh' \
 	'*.scd') || fail=1
 exit $fail
--- a/serve.c
+++ b/serve.c
@@ -4,8 +4,6 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <sys/random.h>
-#include <sys/signalfd.h>
 #include <unistd.h>
 
 #include "ask.h"
@@ -14,6 +12,7 @@
 #include "http.h"
 #include "member.h"
 #include "node.h"
+#include "os.h"
 #include "peer.h"
 #include "status.h"
 #include "target.h"
@@ -352,42 +351,26 @@
 static void on_signal(void *ctx, int events)
 {
 	struct server *s = ctx;
-	struct signalfd_siginfo info;
+	int number = os_signal(s->signal_fd);
 
 	(void)events;
-	if (read(s->signal_fd, &info, sizeof(info)) != sizeof(info))
+	if (!number)
 		return;
 	/* A second signal changes nothing: the stop goes on as planned. */
-	LOG_INFO("signal %u: planned stop", info.ssi_signo);
+	LOG_INFO("signal %d: planned stop", number);
 	begin_stop(s);
 }
 
 static void watch_signals(struct server *s)
 {
-	sigset_t set;
-
-	signal(SIGPIPE, SIG_IGN);
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	sigprocmask(SIG_BLOCK, &set, NULL);
-	s->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	static const int numbers[] = { SIGTERM, SIGINT };
+
+	s->signal_fd = os_signals(numbers, sizeof(numbers) / sizeof(*numbers));
 	s->signals = loop_add(s->loop, s->signal_fd, APR_POLLIN, on_signal, s);
 }
 
 /* Life. */
 
-static uint64_t random_u64(void)
-{
-	uint64_t value = 0;
-
-	if (getrandom(&value, sizeof(value), 0) != sizeof(value)) {
-		LOG_ERR("getrandom: %s", strerror(errno));
-		abort();
-	}
-	return value;
-}
-
 static int listen_all(struct server *s, uint64_t incarnation, struct error *err)
 {
 	const struct config *config = s->config;
@@ -415,7 +398,7 @@
 		.addr = config->peer,
 		.domain = config->domain,
 		.incarnation = incarnation,
-		.seed = random_u64(),
+		.seed = os_random(),
 		.peers = config->peers,
 		.npeers = config->npeers,
 		.max_open = config->max_open,
@@ -463,7 +446,7 @@
 int serve(const struct config *config)
 {
 	struct server s = { .config = config };
-	uint64_t incarnation = random_u64() | 1;
+	uint64_t incarnation = os_random();
 	struct error err = { 0 };
 	int code;
 
--- a/share.c
+++ b/share.c
@@ -85,11 +85,8 @@
 
 	for (it = apr_hash_first(NULL, share->gossip->members); it;
 	     it = apr_hash_next(it)) {
-		void *value;
-		struct member_info *member;
+		struct member_info *member = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
-		member = value;
 		if (member->entry.revision <= share->dir->revision ||
 		    !gossip_is_live(member, now) ||
 		    (best && best->near && !member->near))
@@ -165,11 +162,8 @@
 		(struct place){ self->ip, self->state & MEMBER_READS, NULL };
 	for (it = apr_hash_first(NULL, share->gossip->members); it;
 	     it = apr_hash_next(it)) {
-		void *value;
-		struct member_info *member;
+		struct member_info *member = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
-		member = value;
 		if (member->near && gossip_is_live(member, now) &&
 		    count < PLACES_MAX)
 			places[count++] = (struct place){ member->entry.ip,
--- a/spread.c
+++ b/spread.c
@@ -96,11 +96,10 @@
 
 	for (it = apr_hash_first(NULL, spread->gossip->members); it;
 	     it = apr_hash_next(it)) {
-		void *value;
+		void *value = hash_value(it);
 		uint64_t domain;
 		bool known;
 
-		apr_hash_this(it, NULL, NULL, &value);
 		domain = ((struct member_info *)value)->entry.domain;
 		known = domain == spread->gossip->self.domain;
 		for (size_t i = 0; i < count; i++)
@@ -144,11 +143,8 @@
 					 gossip->self.ip };
 	for (it = apr_hash_first(NULL, gossip->members); it;
 	     it = apr_hash_next(it)) {
-		void *value;
-		struct member_info *member;
+		struct member_info *member = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
-		member = value;
 		if (member->entry.domain != domain ||
 		    !(member->entry.state & MEMBER_SERVES) ||
 		    !gossip_is_live(member, now) || count == SPREAD_MERGERS_MAX)
--- a/str.h
+++ b/str.h
@@ -60,6 +60,15 @@
  */
 apr_hash_t *hash_make(apr_pool_t *pool);
 
+/** hash_value() - what a table's iterator stands at. */
+static inline void *hash_value(apr_hash_index_t *it)
+{
+	void *value;
+
+	apr_hash_this(it, NULL, NULL, &value);
+	return value;
+}
+
 /** str_dup() - copy into @pool, with a terminating NUL for C interfaces. */
 struct str str_dup(apr_pool_t *pool, struct str s);
 
--- a/upstream.c
+++ b/upstream.c
@@ -1,15 +1,13 @@
 #include "upstream.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <http_parser.h>
 
-#include "config.h"
+#include "os.h"
 #include "timer.h"
 #include "xmalloc.h"
 
@@ -444,33 +442,11 @@
 		conn_write(conn);
 }
 
-static int open_fd(struct str addr, struct sockaddr_in *sin)
-{
-	unsigned int silent_ms = SILENT_MS;
-	char ip[INET_ADDRSTRLEN];
-	uint16_t port;
-	int one = 1;
-	int fd;
-
-	if (addr_split(addr, ip, sizeof(ip), &port))
-		return -1;
-	*sin = (struct sockaddr_in){ .sin_family = AF_INET };
-	inet_pton(AF_INET, ip, &sin->sin_addr);
-	sin->sin_port = htons(port);
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return -1;
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms,
-		   sizeof(silent_ms));
-	return fd;
-}
-
 /* Return: NULL when the system refuses a socket or the address is none. */
 static struct conn *conn_open(struct upstream *up, struct site *site)
 {
 	struct sockaddr_in sin;
-	int fd = open_fd(site->addr, &sin);
+	int fd = os_socket(site->addr, SILENT_MS, &sin);
 	struct conn *conn;
 
 	if (fd < 0)
@@ -632,9 +608,8 @@
 		return;
 	up->swept_at = now;
 	for (it = apr_hash_first(NULL, up->sites); it; it = apr_hash_next(it)) {
-		void *site;
+		void *site = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &site);
 		sweep_site(site, now);
 	}
 }
@@ -681,11 +656,8 @@
 
 	loop_unhook(up->loop, up);
 	for (it = apr_hash_first(NULL, up->sites); it; it = apr_hash_next(it)) {
-		void *value;
-		struct site *site;
+		struct site *site = hash_value(it);
 
-		apr_hash_this(it, NULL, NULL, &value);
-		site = value;
 		while (site->conns) {
 			struct conn *conn = site->conns;
 
