--- a/tests/check_upstream.c
+++ b/tests/check_upstream.c
@@ -72,13 +72,15 @@
 	  REPLY("r2", "two"), false, false, FETCH_OK, 200, "one", true, "two" },
 };
 
+struct peer_conn;
+
 /** struct server - accepts, and answers requests in turn */
 struct server {
 	const struct script *script;
 	struct loop *loop;
 	int fd;
 	struct watch *watch;
-	int conns;
+	struct peer_conn *conns;
 	int requests;
 	char addr[32];
 };
@@ -88,12 +90,17 @@
 	struct server *server;
 	int fd;
 	struct watch *watch;
+	struct peer_conn *next;
 };
 
 static void end(struct peer_conn *conn, bool reset)
 {
+	struct peer_conn **at = &conn->server->conns;
 	struct linger now = { 1, 0 };
 
+	while (*at != conn)
+		at = &(*at)->next;
+	*at = conn->next;
 	if (reset)
 		setsockopt(conn->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
 	loop_del(conn->watch);
@@ -136,7 +143,8 @@
 	conn->fd = accept(server->fd, NULL, NULL);
 	conn->watch =
 		loop_add(server->loop, conn->fd, APR_POLLIN, on_data, conn);
-	server->conns++;
+	conn->next = server->conns;
+	server->conns = conn;
 }
 
 static void listen_on_loopback(struct server *server)
@@ -222,7 +230,11 @@
 	ck_assert_msg(outcomes[2].opened != script->reused, "%s: reuse",
 		      script->name);
 	upstream_destroy(up);
+	while (server.conns)
+		end(server.conns, false);
+	loop_del(server.watch);
 	close(server.fd);
+	loop_destroy(server.loop);
 	apr_pool_destroy(pool);
 }
 END_TEST
@@ -243,6 +255,7 @@
 	ask(up, server.loop, server.addr, 1);
 	ck_assert_int_eq(outcomes[1].result, FETCH_REFUSED);
 	upstream_destroy(up);
+	loop_destroy(server.loop);
 	apr_pool_destroy(pool);
 }
 END_TEST
