--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -247,7 +247,7 @@
         while not self.stopping:
             kind = self.rng.choice(("all", "all", "one", "once"))
             node = self.rng.randrange(self.args.nodes)
-            request_id = f"c{number}-{count}"
+            request_id = f"{os.getpid()}-c{number}-{count}"
             count += 1
             start = time.monotonic()
             try:
@@ -355,7 +355,20 @@
             self.fault(f"after all was healed {len(good)} of {len(late)} "
                        "were served")
 
+    async def check_free(self):
+        """Two runs on the same addresses would judge each other's books."""
+        for node in range(self.args.nodes):
+            try:
+                _, writer = await asyncio.open_connection(
+                    self.ip(node), self.args.port + 11)
+            except OSError:
+                continue
+            writer.close()
+            raise RuntimeError(f"{self.ip(node)}:{self.args.port + 11} is "
+                               "taken; choose another --net or --port")
+
     async def begin(self):
+        await self.check_free()
         store = await asyncio.start_server(self.store.serve, "127.0.0.1", 0)
         self.store_proxy = standins.Proxy(
             lambda: store.sockets[0].getsockname()[1])
