--- a/loop.c
+++ b/loop.c
@@ -13,6 +13,8 @@
 	MAX_WAIT_US = 100000,
 	/* A scheduler's delay, not a pause of the process. */
 	HELD_US = 300000,
+	/* What came during a pause has been read by then. */
+	HELD_FOR_US = 100000,
 };
 
 struct watch {
@@ -36,6 +38,7 @@
 	int64_t round_at;
 	int64_t round_end_at;
 	int64_t held_us;
+	int64_t held_until;
 };
 
 int64_t loop_now(void)
@@ -167,6 +170,20 @@
 	return least;
 }
 
+/*
+ * Connections that were opened to a paused process are accepted in the first
+ * round after it and read in those that follow.
+ */
+static void note_pause(struct loop *loop)
+{
+	int64_t held = loop->round_at - loop->round_end_at - MAX_WAIT_US;
+
+	if (held < HELD_US)
+		return;
+	loop->held_us = held;
+	loop->held_until = loop->round_at + HELD_FOR_US;
+}
+
 void loop_step(struct loop *loop)
 {
 	const apr_pollfd_t *ready;
@@ -174,8 +191,8 @@
 
 	if (apr_pollset_poll(loop->set, wait_time(loop), &count, &ready))
 		count = 0;
-	loop->held_us = loop_now() - loop->round_end_at - MAX_WAIT_US;
 	loop->round_at = loop_now();
+	note_pause(loop);
 	for (apr_int32_t i = 0; i < count; i++) {
 		struct watch *watch = ready[i].client_data;
 
@@ -197,7 +214,7 @@
 
 int64_t loop_held_us(const struct loop *loop)
 {
-	return loop->held_us > HELD_US ? loop->held_us : 0;
+	return loop->round_at < loop->held_until ? loop->held_us : 0;
 }
 
 int64_t loop_round_at(const struct loop *loop)
--- a/loop.h
+++ b/loop.h
@@ -44,8 +44,8 @@
 /** loop_round_at() - when the present round began, monotonic microseconds. */
 int64_t loop_round_at(const struct loop *loop);
 /**
- * loop_held_us() - for how long the process was paused or suspended before the
- * present round, 0 when it was not; what is read in this round may be that old
+ * loop_held_us() - for how long the process was paused or suspended just
+ * before, 0 when it was not; what is read now may be that old
  */
 int64_t loop_held_us(const struct loop *loop);
 /** loop_now() - monotonic microseconds, the time of suspension included. */
--- a/tests/check_upstream.c
+++ b/tests/check_upstream.c
@@ -260,11 +260,53 @@
 }
 END_TEST
 
+static void nothing(void *ctx, int events)
+{
+	(void)ctx;
+	(void)events;
+}
+
+/*
+ * The process is paused for longer than a scheduler's delay. Callers' requests
+ * wait in its sockets, some on connections that are accepted a round later: all
+ * that is read in the first tenth of a second may be that old, nothing after.
+ */
+START_TEST(test_pause_is_noticed)
+{
+	struct loop *loop;
+	struct watch *watch;
+	apr_pool_t *pool;
+	int ends[2];
+
+	apr_pool_create(&pool, NULL);
+	loop = loop_create(pool);
+	ck_assert_int_eq(pipe(ends), 0);
+	ck_assert_int_eq(write(ends[1], "x", 1), 1);
+	watch = loop_add(loop, ends[0], APR_POLLIN, nothing, NULL);
+	loop_step(loop);
+	ck_assert_int_eq(loop_held_us(loop), 0);
+	usleep(700000);
+	loop_step(loop);
+	ck_assert_int_ge(loop_held_us(loop), 500000);
+	loop_step(loop);
+	ck_assert_int_ge(loop_held_us(loop), 500000);
+	usleep(150000);
+	loop_step(loop);
+	ck_assert_int_eq(loop_held_us(loop), 0);
+	loop_del(watch);
+	close(ends[0]);
+	close(ends[1]);
+	loop_destroy(loop);
+	apr_pool_destroy(pool);
+}
+END_TEST
+
 static void add(TCase *tcase)
 {
 	tcase_add_loop_test(tcase, test_script, 0,
 			    (int)(sizeof(scripts) / sizeof(*scripts)));
 	tcase_add_test(tcase, test_refused);
+	tcase_add_test(tcase, test_pause_is_noticed);
 }
 
 int main(void)
