--- a/tests/check_upstream.c
+++ b/tests/check_upstream.c
@@ -93,6 +93,13 @@
 	struct peer_conn *next;
 };
 
+static void drop(struct peer_conn *conn)
+{
+	loop_del(conn->watch);
+	close(conn->fd);
+	free(conn);
+}
+
 static void end(struct peer_conn *conn, bool reset)
 {
 	struct peer_conn **at = &conn->server->conns;
@@ -103,9 +110,17 @@
 	*at = conn->next;
 	if (reset)
 		setsockopt(conn->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-	loop_del(conn->watch);
-	close(conn->fd);
-	free(conn);
+	drop(conn);
+}
+
+static void drop_all(struct peer_conn *conn)
+{
+	while (conn) {
+		struct peer_conn *next = conn->next;
+
+		drop(conn);
+		conn = next;
+	}
 }
 
 static void on_data(void *ctx, int events)
@@ -230,8 +245,7 @@
 	ck_assert_msg(outcomes[2].opened != script->reused, "%s: reuse",
 		      script->name);
 	upstream_destroy(up);
-	while (server.conns)
-		end(server.conns, false);
+	drop_all(server.conns);
 	loop_del(server.watch);
 	close(server.fd);
 	loop_destroy(server.loop);
