Tables forget what is long gone

Cause: targets, deleted keys and addresses stayed in their tables for as long as a process lived; each replacement of targets made every choice a little longer. Found by reading. Now targets are forgotten half a minute after their entry, keys and addresses after one. Ruled out: a target with a request under way, which is kept (test_gone_target_is_forgotten).

--- a/directory.c
+++ b/directory.c
@@ -12,6 +12,11 @@
 	 */
 	NEAR_CONNS_LEAST = 2,
 	FAR_CONNS_LEAST = 1,
+	/*
+	 * A deleted key is remembered so that older news of another node does
+	 * not bring it back; nodes that are that far behind read all keys anew.
+	 */
+	KEPT_US = 60000000,
 };
 
 /*
@@ -202,6 +207,7 @@
 		if (!held->deleted)
 			take_end(dir, held, now);
 		held->deleted = true;
+		held->deleted_at = now;
 		return;
 	}
 	held->deleted = false;
@@ -217,6 +223,33 @@
 		apply_one(dir, &items[i], now);
 }
 
+static struct held_key *find_gone(struct directory *dir, int64_t now)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, dir->keys); it; it = apr_hash_next(it)) {
+		struct held_key *held = hash_value(it);
+
+		if (held->deleted && held->deleted_at &&
+		    now - held->deleted_at > KEPT_US)
+			return held;
+	}
+	return NULL;
+}
+
+void directory_sweep(struct directory *dir, int64_t now)
+{
+	struct held_key *gone;
+
+	while ((gone = find_gone(dir, now))) {
+		apr_hash_set(dir->keys, gone->key.ptr,
+			     (apr_ssize_t)gone->key.len, NULL);
+		str_free(gone->key);
+		str_free(gone->value);
+		free(gone);
+	}
+}
+
 void directory_round(struct directory *dir)
 {
 	dir->round++;
@@ -234,6 +267,7 @@
 			continue;
 		take_end(dir, held, now);
 		held->deleted = true;
+		held->deleted_at = now;
 		held->revision = revision;
 	}
 	if (revision > dir->revision)
--- a/directory.h
+++ b/directory.h
@@ -43,6 +43,7 @@
 	struct str value;
 	uint64_t revision;
 	bool deleted;
+	int64_t deleted_at;
 	uint64_t round; /* read of the whole store that saw it last */
 };
 
@@ -61,6 +62,8 @@
 void directory_bounds(struct directory *dir, int nodes);
 /** directory_conns() - this node's part of a target's connections. */
 int directory_conns(int max_conns, int nodes, bool near);
+/** directory_sweep() - forget keys that were deleted long ago. */
+void directory_sweep(struct directory *dir, int64_t now);
 /** directory_pack() - all that changed after revision @since. */
 void directory_pack(const struct directory *dir, uint64_t since,
 		    struct buf *out);
--- a/forward.c
+++ b/forward.c
@@ -18,7 +18,7 @@
 /* Waiting for a target that may be asked ends at this part of the goal. */
 static const double WAIT_GOAL_PART = 0.25;
 
-/* By weight: the share that is furthest behind its part of the requests. */
+/* By a draw, as the weights are: nodes need not agree on whose turn it is. */
 uint64_t forward_share(struct calls *calls, const struct route *route)
 {
 	double total = 0;
--- a/roster.c
+++ b/roster.c
@@ -46,6 +46,8 @@
 	 * written a few times more. Longer than entries outlive their target.
 	 */
 	MOVED_US = 10000000,
+	/* Targets that are gone are remembered until no late word can come. */
+	KEPT_US = 30000000,
 	/*
 	 * Without an answer for this long, or this multiple of its usual time,
 	 * and to so many requests, a target is silent: pauses are far shorter.
@@ -460,6 +462,30 @@
 	return false;
 }
 
+/* Return: one that can be forgotten, or NULL. */
+static struct live_target *find_gone(struct roster *roster, int64_t now)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, roster->targets); it;
+	     it = apr_hash_next(it)) {
+		struct live_target *target = hash_value(it);
+
+		if (!target->listed && !target->open &&
+		    now - target->left_at > KEPT_US)
+			return target;
+	}
+	return NULL;
+}
+
+void roster_sweep(struct roster *roster, int64_t now)
+{
+	struct live_target *gone;
+
+	while ((gone = find_gone(roster, now)))
+		forget(roster, gone);
+}
+
 size_t roster_count(const struct roster *roster)
 {
 	return roster->count;
--- a/roster.h
+++ b/roster.h
@@ -137,6 +137,8 @@
 		  uint64_t domain, int64_t now);
 /** roster_first() - targets of a service, linked by next. */
 struct live_target *roster_first(const struct roster *roster, uint64_t service);
+/** roster_sweep() - forget targets whose entries are long gone. */
+void roster_sweep(struct roster *roster, int64_t now);
 size_t roster_count(const struct roster *roster);
 
 /** roster_sent(), roster_answered() - a request went out, and came back. */
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -408,6 +408,32 @@
 }
 END_TEST
 
+/*
+ * A target's entry goes. It is forgotten after half a minute, but not while a
+ * request to it is under way.
+ */
+START_TEST(test_gone_target_is_forgotten)
+{
+	struct roster *roster = roster_create(pool, STR("here"));
+	struct target_entry a = entry("a", "here");
+	int64_t now = 100 * (int64_t)SECOND_US;
+	struct live_target *target;
+
+	roster_put(roster, &a, now);
+	target = find(roster, "a");
+	roster_sent(roster, target, now);
+	roster_drop(roster, STR("a"), now);
+	roster_sweep(roster, now + 40 * (int64_t)SECOND_US);
+	ck_assert_uint_eq(roster_count(roster), 1);
+	roster_answered(roster, target, REPLY_GOOD, now, now + 1000);
+	roster_sweep(roster, now + SECOND_US);
+	ck_assert_uint_eq(roster_count(roster), 1);
+	roster_sweep(roster, now + 40 * (int64_t)SECOND_US);
+	ck_assert_uint_eq(roster_count(roster), 0);
+	roster_destroy(roster);
+}
+END_TEST
+
 /*
  * A cold target bears few requests a second; this node keeps to its part of
  * them, and may use it freely once it is warm.
@@ -567,6 +593,7 @@
 	tcase_add_test(tcase, test_target_starts_again);
 	tcase_add_test(tcase, test_silent_target);
 	tcase_add_test(tcase, test_address_of_another);
+	tcase_add_test(tcase, test_gone_target_is_forgotten);
 	tcase_add_test(tcase, test_cold_target);
 	tcase_add_loop_test(tcase, test_connections_twice, 0,
 			    COUNT(fleet_cases));
--- a/tier.c
+++ b/tier.c
@@ -22,6 +22,7 @@
 	LINGER_DEN = 10,
 	/* A node without a configuration tells callers to come back. */
 	STARTING_RETRY_US = 300000,
+	SWEEP_US = 5000000,
 };
 
 struct tier {
@@ -43,6 +44,7 @@
 	int64_t stop_at;
 	bool stopped;
 	uint64_t limits_version;
+	int64_t sweep_at;
 };
 
 static struct budget_rules rules_of(const struct vm_settings *settings)
@@ -293,6 +295,16 @@
 	budget_nodes(tier->calls.budget, nodes);
 }
 
+/* Tables must not grow with all targets that there ever were. */
+static void sweep(struct tier *tier)
+{
+	if (tier->calls.now < tier->sweep_at)
+		return;
+	tier->sweep_at = tier->calls.now + SWEEP_US;
+	roster_sweep(tier->roster, tier->calls.now);
+	directory_sweep(&tier->dir, tier->calls.now);
+}
+
 static void run_timers(struct tier *tier)
 {
 	struct timer due;
@@ -313,6 +325,7 @@
 		 * that was held up must not judge what it has not read late.
 		 */
 		run_timers(tier);
+		sweep(tier);
 		break;
 	case FLOW_REQUEST:
 		on_request(tier, event);
--- a/upstream.c
+++ b/upstream.c
@@ -29,6 +29,8 @@
 	IDLE_PART_NUM = 7,
 	IDLE_PART_DEN = 10,
 	SWEEP_US = 250000,
+	/* An address without connections is forgotten after this long. */
+	SITE_KEPT_US = 60000000,
 };
 
 /** struct span - a piece of conn.text, which may move while it grows */
@@ -89,6 +91,7 @@
 	uint64_t key;
 	struct conn *conns;
 	int64_t idle_us;
+	int64_t used_at;
 };
 
 struct upstream {
@@ -480,6 +483,7 @@
 	site->addr = str_keep(addr);
 	site->key = key;
 	site->idle_us = IDLE_US;
+	site->used_at = loop_now();
 	apr_hash_set(up->sites, &site->key, sizeof(site->key), site);
 	return site;
 }
@@ -600,18 +604,33 @@
 	}
 }
 
+static void site_free(struct upstream *up, struct site *site)
+{
+	apr_hash_set(up->sites, &site->key, sizeof(site->key), NULL);
+	str_free(site->addr);
+	free(site);
+}
+
 static void sweep_idle(struct upstream *up, int64_t now)
 {
+	struct site *gone = NULL;
 	apr_hash_index_t *it;
 
 	if (now < up->swept_at + SWEEP_US)
 		return;
 	up->swept_at = now;
 	for (it = apr_hash_first(NULL, up->sites); it; it = apr_hash_next(it)) {
-		void *site = hash_value(it);
+		struct site *site = hash_value(it);
 
 		sweep_site(site, now);
+		if (site->conns)
+			site->used_at = now;
+		else if (now - site->used_at > SITE_KEPT_US)
+			gone = site;
 	}
+	/* One a sweep: the table must not change while it is walked. */
+	if (gone)
+		site_free(up, gone);
 }
 
 static void run(void *ctx)
