--- a/gossip.c
+++ b/gossip.c
@@ -72,8 +72,8 @@
 				   .rng = rng,
 				   .port = settings->peer_port,
 				   .next_at = now,
-				   .live = 1,
-				   .most_live = 1 };
+				   .near_live = 1,
+				   .counted = 1 };
 	gossip->members = hash_make(pool);
 	gossip->self.ip = ip_number(settings->ip);
 	gossip->self.incarnation = incarnation;
@@ -148,7 +148,7 @@
 
 int gossip_count(const struct gossip *gossip)
 {
-	return gossip->most_live;
+	return gossip->counted;
 }
 
 /* Nodes that went down lately still count; see COUNT_US. */
@@ -157,7 +157,6 @@
 	apr_hash_index_t *it;
 	int counted = 1;
 
-	gossip->live = 1;
 	gossip->near_live = 1;
 	for (it = apr_hash_first(NULL, gossip->members); it;
 	     it = apr_hash_next(it)) {
@@ -165,8 +164,6 @@
 
 		if (now - member->heard_at < COUNT_US)
 			counted++;
-		if (gossip_is_live(member, now))
-			gossip->live++;
 		if (gossip_is_live(member, now) && member->near)
 			gossip->near_live++;
 		if (now - member->heard_at > FORGET_US && !member->open) {
@@ -175,7 +172,7 @@
 			free(member);
 		}
 	}
-	gossip->most_live = counted;
+	gossip->counted = counted;
 }
 
 /* Sending. */
--- a/gossip.h
+++ b/gossip.h
@@ -11,6 +11,7 @@
  * is taken to be down. Seeds are asked until somebody is known.
  */
 
+/** enum member_bits - state of a node, as it tells it */
 enum member_bits {
 	MEMBER_SERVES = 1, /* has a configuration and takes requests */
 	MEMBER_LEAVES = 2, /* planned stop */
@@ -40,6 +41,13 @@
 	int64_t rest_until;
 };
 
+/**
+ * struct gossip - all that is known of nodes
+ * @self: what this one tells of itself
+ * @next_at: when others are told next
+ * @near_live: live nodes of the failure domain, this one included
+ * @counted: nodes that may hold a part of shared bounds
+ */
 struct gossip {
 	apr_pool_t *pool;
 	struct flow_effects *fx;
@@ -50,10 +58,8 @@
 	uint32_t seeds[SEEDS_MAX];
 	size_t nseeds;
 	int64_t next_at;
-	int live;
 	int near_live;
-	int most_live;
-	int64_t most_live_at;
+	int counted;
 };
 
 /** gossip_init() - @domain: failure domain; @core: share of a core. */
--- a/parcel.h
+++ b/parcel.h
@@ -9,7 +9,16 @@
  * messages of wire.proto. What cannot be decoded is refused whole.
  */
 
-/** struct member_entry - what a node tells of itself, or of another one */
+/**
+ * struct member_entry - what a node tells of itself, or of another one
+ * @ip: host byte order
+ * @beat: counts up in one life of a process
+ * @domain: hash of the failure domain
+ * @core: thousandths of a processor core
+ * @state: bits, enum member_bits
+ * @revision: of the store, as far as it knows
+ * @version: of the configuration in force there
+ */
 struct member_entry {
 	uint32_t ip;
 	uint64_t incarnation;
--- a/reader.c
+++ b/reader.c
@@ -2,9 +2,9 @@
 
 enum {
 	/*
-	 * A call waits this long at the store. A change reaches a node whose
-	 * call has gone silent after this and the slack, a page and a half of
-	 * reads: well within the three seconds of a drain.
+	 * A call waits this long at the store. One whose connection has gone
+	 * silent ends after this and the slack, and a new one brings the
+	 * change: well within the three seconds of a drain.
 	 */
 	WATCH_US = 1200000,
 	WATCH_SLACK_US = 400000,
--- a/roster.c
+++ b/roster.c
@@ -63,6 +63,11 @@
 /* Weight of a new sample in the smoothed time: follows in about five. */
 static const double SMOOTHING = 0.2;
 
+/**
+ * struct group - targets of a service, and what bounds them
+ * @cold_per_second: requests that this node may send to a cold one, 0: any
+ * @near_conns, @far_conns: requests of this node that one may have, 0: any
+ */
 struct group {
 	uint64_t service;
 	struct live_target *first;
