--- a/tests/fuzz_input.c
+++ b/tests/fuzz_input.c
@@ -7,6 +7,8 @@
 #include "../ask.h"
 #include "../config.h"
 #include "../doc.h"
+#include "../parcel.h"
+#include "../platform/platform.h"
 #include "../target.h"
 #include "../wire.h"
 
@@ -64,9 +66,42 @@
 	buf_free(&rows);
 }
 
+static void take_platform(struct str in)
+{
+	struct vm_settings settings;
+	struct store_reply page;
+	struct fact fact;
+	struct error err;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, NULL);
+	platform_settings(in, &settings, pool, &err);
+	platform_range_reply(in, &page, pool, &err);
+	platform_watch_reply(in, &page, pool, &err);
+	platform_decode(STR("servers/i"), in, &fact, pool, &err);
+	if (!platform_decode(STR("op/config"), in, &fact, pool, &err))
+		catalog_unref(fact.catalog);
+	apr_pool_destroy(pool);
+}
+
+static void take_parcel(struct str in)
+{
+	struct member_entry *members;
+	struct store_item *items;
+	struct flow_request request;
+	apr_pool_t *pool;
+	size_t count;
+
+	apr_pool_create(&pool, NULL);
+	parcel_open_members(in, pool, &members, &count);
+	parcel_open_items(in, pool, &items, &count);
+	parcel_open_request(in, pool, &request);
+	apr_pool_destroy(pool);
+}
+
 static void (*const decoders[])(struct str in) = {
-	take_frame,    take_fleet,  take_lists,
-	take_settings, take_caller, take_reply,
+	take_frame,  take_fleet, take_lists,	take_settings,
+	take_caller, take_reply, take_platform, take_parcel,
 };
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
