Log: what each missing shard waited for

Cause: a partial answer and a question given up looked alike in the log whether targets were slow, rejected, or a bound was used up; the way from an id to its cause ended there. After, in one line: missing by reply, node, no_target, no_budget, no_tries.

--- a/call.c
+++ b/call.c
@@ -192,7 +192,8 @@
 	fx->timeout_us = fx->time_left_us + REPLY_SLACK_US;
 }
 
-enum send_result call_send(struct calls *calls, struct call *call, size_t part)
+static enum send_result try_send(struct calls *calls, struct call *call,
+				 size_t part)
 {
 	struct part *p = &call->parts[part];
 	struct choice choice = { .service = p->service,
@@ -220,6 +221,14 @@
 	return SEND_DONE;
 }
 
+enum send_result call_send(struct calls *calls, struct call *call, size_t part)
+{
+	enum send_result result = try_send(calls, call, part);
+
+	call->parts[part].held_by = result;
+	return result;
+}
+
 static enum target_reply judge(const struct flow_reply *reply)
 {
 	switch (reply->result) {
--- a/call.h
+++ b/call.h
@@ -52,6 +52,14 @@
 	void (*ended)(struct calls *calls, struct call *call);
 };
 
+/** enum send_result - whether an attempt was made */
+enum send_result {
+	SEND_DONE,
+	SEND_NO_TARGET, /* none may be asked now */
+	SEND_NO_BUDGET, /* second sends have used up their part */
+	SEND_NO_TRIES, /* the route allows no more targets */
+};
+
 enum {
 	CALL_TRIES_MAX = 4,
 };
@@ -64,6 +72,7 @@
  * @ran: some target may have run it
  * @batched: another node was asked for it and has not answered
  * @again: another node may have sent it already
+ * @held_by: why the last try at sending it was not made
  */
 struct part {
 	uint64_t service;
@@ -74,6 +83,7 @@
 	bool ran;
 	bool batched;
 	bool again;
+	enum send_result held_by;
 };
 
 /**
@@ -150,14 +160,6 @@
 	const struct call_kind *shards_kind;
 };
 
-/** enum send_result - whether an attempt was made */
-enum send_result {
-	SEND_DONE,
-	SEND_NO_TARGET, /* none may be asked now */
-	SEND_NO_BUDGET, /* second sends have used up their part */
-	SEND_NO_TRIES, /* the route allows no more targets */
-};
-
 void calls_init(struct calls *calls, apr_pool_t *pool, uint64_t seed);
 void calls_destroy(struct calls *calls);
 /** calls_reap() - free what ended; no effect may point there any more. */
--- a/note.c
+++ b/note.c
@@ -95,6 +95,45 @@
 		buf_str_add(line, STR("]"));
 }
 
+/*
+ * Of each missing shard, what it waits for: its target's reply, another node,
+ * or leave to ask a target. Tells apart a slow target from a bound that is used
+ * up, which look alike to the caller.
+ */
+static void add_missing(struct buf *line, const struct call *call)
+{
+	static const char *const names[] = {
+		[SEND_DONE] = "not_sent",
+		[SEND_NO_TARGET] = "no_target",
+		[SEND_NO_BUDGET] = "no_budget",
+		[SEND_NO_TRIES] = "no_tries",
+	};
+	int held[sizeof(names) / sizeof(*names)] = { 0 };
+	int replies = 0;
+	int nodes = 0;
+
+	if (call->nparts < 2 || call->ndone == call->nparts)
+		return;
+	for (size_t i = 0; i < call->nparts; i++) {
+		const struct part *part = &call->parts[i];
+
+		if (part->done)
+			continue;
+		if (part->open)
+			replies++;
+		else if (part->batched)
+			nodes++;
+		else
+			held[part->held_by]++;
+	}
+	buf_printf(line, ",\"missing\":{\"reply\":%d,\"node\":%d", replies,
+		   nodes);
+	for (size_t i = 0; i < sizeof(held) / sizeof(*held); i++)
+		if (held[i])
+			buf_printf(line, ",\"%s\":%d", names[i], held[i]);
+	buf_str_add(line, STR("}"));
+}
+
 static void count_final(struct note_book *notes, int64_t us,
 			const struct call *call, const struct final *final)
 {
@@ -128,6 +167,7 @@
 		return;
 	begin(notes, &line, now, NOTE_FINAL);
 	add_call(&line, now, call);
+	add_missing(&line, call);
 	add_waits(&line, now, call);
 	buf_printf(&line, ",\"status\":%d,\"why\":\"%s\"}", final->status,
 		   final->why);
@@ -145,6 +185,7 @@
 		return;
 	begin(notes, &line, now, NOTE_FINAL);
 	add_call(&line, now, call);
+	add_missing(&line, call);
 	buf_printf(&line, ",\"why\":\"%s\"}",
 		   call->asker.len ? "the asking node has its answer"
 				   : "the caller closed");
