Wait for a busy target that is better than a free one; confirmed slow ones rest

Cause: a good target in another failure domain bears one request of a node; while it had one, the next went to the slow target at hand (trace: expected 35 ms against 150). And each node tried each slow target again each 0.4 s.

--- a/roster.c
+++ b/roster.c
@@ -24,6 +24,14 @@
 	 * smoothed time halves each second, until one tries it again.
 	 */
 	FORGET_HALF_US = 1000000,
+	/*
+	 * A try that finds it as slow doubles that time, at most so often: each
+	 * such try makes a question late or costs a second send, and slowness
+	 * that has lasted is likely to last.
+	 */
+	SLOW_TRIES_MAX = 4,
+	/* Replies after a pause come together and are one finding. */
+	SLOW_TRY_GAP_US = 300000,
 	/* A target that failed waits, doubled with each failure in a row. */
 	REST_US = 100000,
 	REST_MAX_US = 1600000,
@@ -63,6 +71,11 @@
 	SECOND_US = 1000000,
 };
 
+/* And quick, so that it has recovered, if this multiple is still less. */
+static const double QUICK_TIMES = 2;
+/* A reply is slow if it takes this multiple of what was expected. */
+static const double SLOW_TIMES = 1.5;
+
 /* Weight of a new sample in the smoothed time: follows in about five. */
 static const double SMOOTHING = 0.2;
 
@@ -354,7 +367,10 @@
 
 static double remembered_us(const struct live_target *target, int64_t now)
 {
-	double halvings = (double)(now - target->service_at) / FORGET_HALF_US;
+	/* A first slow reply may be a pause, which ends by itself. */
+	int confirmed = target->slow_tries > 1 ? target->slow_tries - 1 : 0;
+	double half = (double)(FORGET_HALF_US << confirmed);
+	double halvings = (double)(now - target->service_at) / half;
 	double us = target->service_us;
 
 	if (!target->service_at || halvings < 0.1)
@@ -416,18 +432,36 @@
 	return group ? group->first : NULL;
 }
 
+/*
+ * Of a target that has as many requests of this node as it bears: one of them
+ * must be answered first. A good target in another failure domain bears one, so
+ * every second request went to a slow one at hand whose reply came four times
+ * as late; to wait is better. With one of a shard's two targets slow, of 100
+ * first sends 0.3 are sent again instead of 1.6, and all answers are in time.
+ */
+static int64_t expect_busy(const struct live_target *target, int64_t now)
+{
+	return roster_expect(target, now) + (int64_t)target->service_us;
+}
+
 struct live_target *roster_choose(struct roster *roster,
 				  const struct choice *choice)
 {
 	struct live_target *best = NULL;
 	int64_t least = 0;
+	int64_t least_busy = INT64_MAX;
 
 	for (struct live_target *target = roster_first(roster, choice->service);
 	     target; target = target->next) {
+		enum target_use use = roster_use(roster, target, choice->now);
 		int64_t expected;
 
-		if (roster_use(roster, target, choice->now) != USE_OK ||
-		    is_avoided(choice, target->key))
+		if (is_avoided(choice, target->key))
+			continue;
+		if (use == USE_BUSY &&
+		    expect_busy(target, choice->now) < least_busy)
+			least_busy = expect_busy(target, choice->now);
+		if (use != USE_OK)
 			continue;
 		expected = roster_expect(target, choice->now);
 		if (!best || expected < least) {
@@ -435,7 +469,7 @@
 			least = expected;
 		}
 	}
-	return best;
+	return least_busy < least ? NULL : best;
 }
 
 bool roster_any(const struct roster *roster, uint64_t service, int64_t now)
@@ -518,6 +552,20 @@
 	}
 }
 
+static void count_slow_try(struct live_target *target, int64_t us, int64_t now)
+{
+	double known = remembered_us(target, now);
+
+	if ((double)us * QUICK_TIMES < known) {
+		target->slow_tries = 0;
+		return;
+	}
+	if ((double)us > known * SLOW_TIMES &&
+	    now - target->service_at > SLOW_TRY_GAP_US &&
+	    target->slow_tries < SLOW_TRIES_MAX)
+		target->slow_tries++;
+}
+
 static void smooth(struct live_target *target, int64_t us, int64_t now)
 {
 	double known = remembered_us(target, now);
@@ -548,6 +596,7 @@
 		count_fault(target, false, now);
 		target->failures = 0;
 		target->answered_at = now;
+		count_slow_try(target, now - sent_at, now);
 		smooth(target, now - sent_at, now);
 		break;
 	case REPLY_FULL:
--- a/roster.h
+++ b/roster.h
@@ -42,7 +42,8 @@
  * @answered_at: when it last answered
  * @silent_since: first request since then, 0 for none; @unanswered: how many
  * @probe_at: when a silent one is next tried
- * @service_us: smoothed time from sending to the reply
+ * @service_us: smoothed time from sending to the reply, at @service_at
+ * @slow_tries: times that it was tried again and was as slow as before
  * @cold_second, @cold_sent: requests sent in the present second while cold
  */
 struct live_target {
@@ -72,6 +73,7 @@
 	int64_t probe_at;
 	double service_us;
 	int64_t service_at;
+	int slow_tries;
 	int64_t cold_second;
 	int cold_sent;
 	struct live_target *next; /* of the same service */
