A target that rejected a request is asked once more when no other can be

Cause: a shard whose one target had rejected and whose other stood still was missing until the soft deadline (log: no_tries 406 of 1,151 missing), though the bound of a route is on targets and a rejected request has not run. Ruled out: the retry budget, of which a third was used. The virtual targets counted sends, not targets; they count targets now, as the route does.

--- a/call.c
+++ b/call.c
@@ -163,6 +163,26 @@
 	free(attempt);
 }
 
+/* Return: its place, or @part->ntried when it has not been asked. */
+static size_t find_tried(const struct part *part, uint64_t key)
+{
+	size_t at = 0;
+
+	while (at < part->ntried && part->tried[at] != key)
+		at++;
+	return at;
+}
+
+static void remember_tried(struct part *part, uint64_t key)
+{
+	size_t at = find_tried(part, key);
+
+	if (at == part->ntried)
+		part->ntried++;
+	part->tried[at] = key;
+	part->rejected &= ~(1U << at);
+}
+
 static void attempt_start(struct calls *calls, struct call *call, size_t part,
 			  struct live_target *target)
 {
@@ -180,7 +200,8 @@
 	call->attempts = attempt;
 	apr_hash_set(calls->attempts, &attempt->id, sizeof(attempt->id),
 		     attempt);
-	p->tried[p->ntried++] = target->key;
+	remember_tried(p, target->key);
+	p->nsent++;
 	p->open++;
 	roster_sent(calls->roster, target, calls->now);
 	fx->id = attempt->id;
@@ -192,20 +213,68 @@
 	fx->timeout_us = fx->time_left_us + REPLY_SLACK_US;
 }
 
+static bool has_fresh_tries(const struct call *call, const struct part *part)
+{
+	return (int)part->ntried < call->route->attempts &&
+	       part->ntried < CALL_TRIES_MAX;
+}
+
+bool call_may_send(const struct call *call, const struct part *part)
+{
+	if (part->nsent >= CALL_SENDS_MAX)
+		return false;
+	return has_fresh_tries(call, part) || part->rejected;
+}
+
+/*
+ * A target that rejected the request has not run it, and the bound of the route
+ * is on targets, not on sends. So it is asked once more when no other can be:
+ * else the shard is missing while one of its targets is full or in a pause.
+ */
+static struct live_target *choose_again(struct calls *calls,
+					const struct part *part)
+{
+	uint64_t avoid[CALL_TRIES_MAX];
+	struct choice choice = { .service = part->service,
+				 .avoid = avoid,
+				 .now = calls->now };
+	struct live_target *target;
+
+	for (size_t i = 0; i < part->ntried; i++)
+		if (!(part->rejected & 1U << i))
+			avoid[choice.navoid++] = part->tried[i];
+	target = roster_choose(calls->roster, &choice);
+	if (!target || calls->now < target->wary_until ||
+	    find_tried(part, target->key) == part->ntried)
+		return NULL;
+	return target;
+}
+
+static struct live_target *choose(struct calls *calls, const struct call *call,
+				  const struct part *part)
+{
+	struct choice choice = { .service = part->service,
+				 .avoid = part->tried,
+				 .navoid = part->ntried,
+				 .now = calls->now };
+	struct live_target *target = NULL;
+
+	if (has_fresh_tries(call, part))
+		target = roster_choose(calls->roster, &choice);
+	if (!target && part->rejected)
+		target = choose_again(calls, part);
+	return target;
+}
+
 static enum send_result try_send(struct calls *calls, struct call *call,
 				 size_t part)
 {
 	struct part *p = &call->parts[part];
-	struct choice choice = { .service = p->service,
-				 .avoid = p->tried,
-				 .navoid = p->ntried,
-				 .now = calls->now };
 	struct live_target *target;
 
-	if (p->ntried >= CALL_TRIES_MAX ||
-	    (int)p->ntried >= call->route->attempts)
+	if (!call_may_send(call, p))
 		return SEND_NO_TRIES;
-	target = roster_choose(calls->roster, &choice);
+	target = choose(calls, call, p);
 	if (!target)
 		return SEND_NO_TARGET;
 	if (!p->ntried && !p->again) {
@@ -229,6 +298,14 @@
 	return result;
 }
 
+static void mark_rejected(struct part *part, uint64_t key)
+{
+	size_t at = find_tried(part, key);
+
+	if (at < part->ntried)
+		part->rejected |= 1U << at;
+}
+
 static enum target_reply judge(const struct flow_reply *reply)
 {
 	switch (reply->result) {
@@ -279,6 +356,8 @@
 		return;
 	if (reply->result != FETCH_REFUSED && !reply->not_run && !reply->other)
 		call->parts[copy.part].ran = true;
+	else if (reply->not_run && !reply->other)
+		mark_rejected(&call->parts[copy.part], copy.target->key);
 	call->kind->replied(calls, call, &copy, reply);
 	/* The call may have ended: only its parts tell, and they still live. */
 	if (call->parts[copy.part].done)
--- a/call.h
+++ b/call.h
@@ -61,12 +61,18 @@
 };
 
 enum {
+	/* Targets of a shard that are kept in mind. */
 	CALL_TRIES_MAX = 4,
+	/* Sends for it: a target that rejects three of five takes one of five.
+	 */
+	CALL_SENDS_MAX = 5,
 };
 
 /**
  * struct part - a shard of a merged call, or the one target of another
  * @tried: targets that had the request
+ * @rejected: bits of those in @tried that did not run it and may be asked again
+ * @nsent: how often it was sent
  * @open: attempts under way
  * @done: a good reply is in
  * @ran: some target may have run it
@@ -78,6 +84,8 @@
 	uint64_t service;
 	uint64_t tried[CALL_TRIES_MAX];
 	size_t ntried;
+	unsigned int rejected;
+	size_t nsent;
 	int open;
 	bool done;
 	bool ran;
@@ -170,6 +178,8 @@
 			 const struct flow_request *request,
 			 struct catalog *catalog, const struct route *route);
 struct call *call_find(struct calls *calls, uint64_t id);
+/** call_may_send() - a target is left that the route allows to ask. */
+bool call_may_send(const struct call *call, const struct part *part);
 /** call_send() - one more attempt for a part, to the best target left. */
 enum send_result call_send(struct calls *calls, struct call *call, size_t part);
 /** call_review_at() - plan the next review for @when, if that is earlier. */
--- a/merge.c
+++ b/merge.c
@@ -133,12 +133,6 @@
 		call_refuse(calls, call, 503, why, RETRY_AFTER_US);
 }
 
-static bool may_try_again(const struct call *call, const struct part *part)
-{
-	return (int)part->ntried < call->route->attempts &&
-	       part->ntried < CALL_TRIES_MAX;
-}
-
 /*
  * Shards that are in, or still may be: those too that wait for room at a target
  * or for a part of the retry budget. While too few are in, a late answer is
@@ -153,7 +147,7 @@
 		const struct part *part = &call->parts[i];
 
 		if (part->done || part->open || part->batched ||
-		    may_try_again(call, part))
+		    call_may_send(call, part))
 			possible++;
 	}
 	return possible;
@@ -241,7 +235,7 @@
 	for (const struct attempt *at = call->attempts; at; at = at->next) {
 		int64_t due = at->sent_at + hedge_after(call, at);
 
-		if (!may_try_again(call, &call->parts[at->part]))
+		if (!call_may_send(call, &call->parts[at->part]))
 			continue;
 		if (due <= calls->now)
 			due = calls->now + LOOK_AGAIN_US;
@@ -252,7 +246,7 @@
 		const struct part *part = &call->parts[i];
 
 		if (!part->done && !part->open && !part->batched &&
-		    may_try_again(call, part) &&
+		    call_may_send(call, part) &&
 		    calls->now + LOOK_AGAIN_US < when)
 			when = calls->now + LOOK_AGAIN_US;
 	}
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -65,6 +65,8 @@
 	bool not_greatest;
 	int runs;
 	int targets_of_shard[2 * STAGE_SHARDS];
+	/* Bits of the targets that a shard was asked at. */
+	uint64_t asked[2 * STAGE_SHARDS][STAGE_TARGETS / 64];
 	uint64_t version;
 };
 
