Nodes meet within a second of a common start

Word goes round once a second; a connection to a VM without power was given up just when its first packet would have been sent again, and the word with it. Meanwhile each node took too large a part of shared bounds, and on the grown sites small VMs merged questions. Ruled out: the reader's word to others (it told all that it knew of). Now: word of a new node goes on after 150 ms, seeds that do not answer are told again as soon, an opening connection is opened anew after 200 ms, before the next message is put on it. Flushes look at links with something to send only.

--- a/gossip.c
+++ b/gossip.c
@@ -8,6 +8,16 @@
 
 enum {
 	PERIOD_US = 1000000,
+	/*
+	 * Word of a new node goes on this soon. When
+	 * all VMs start anew a period took three times as long to bring it
+	 * round as they took to be ready: until then each counts few others, so
+	 * its part of shared bounds is too large, and small VMs merge.
+	 */
+	NEWS_US = 150000,
+	/* The same for seeds that have not answered, this long from the start.
+	 */
+	SEEDS_WAIT_US = 3000000,
 	/*
 	 * Nodes of the own failure domain that are told all, each period: word
 	 * of a change has reached 25 of them after three periods.
@@ -72,6 +82,7 @@
 				   .rng = rng,
 				   .port = settings->peer_port,
 				   .next_at = now,
+				   .started_at = now,
 				   .near_live = 1,
 				   .counted = 1 };
 	gossip->members = hash_make(pool);
@@ -230,8 +241,11 @@
 	return seen < most ? seen : most;
 }
 
-static void tell_seeds(struct gossip *gossip, struct str body, int64_t now)
+/* Return: whether some could not be told of, or have not answered yet. */
+static bool tell_seeds(struct gossip *gossip, struct str body, int64_t now)
 {
+	bool any = false;
+
 	for (size_t i = 0; i < gossip->nseeds; i++) {
 		uint32_t ip = gossip->seeds[i];
 		struct member_info *member =
@@ -242,7 +256,9 @@
 			continue;
 		tell(gossip, addr_text(gossip->fx->pool, ip, gossip->port),
 		     body);
+		any = true;
 	}
+	return any;
 }
 
 /* Each node's part of what its domain tells elsewhere, by a draw. */
@@ -262,6 +278,7 @@
 	if (now < gossip->next_at)
 		return;
 	gossip->next_at = now + PERIOD_US;
+	gossip->told_at = now;
 	gossip->self.beat++;
 	count_live(gossip, now);
 	pack(gossip, true, now, &all);
@@ -273,7 +290,9 @@
 				  : 0;
 	for (size_t i = 0; i < count; i++)
 		tell(gossip, picked[i]->addr, buf_str(&own));
-	tell_seeds(gossip, buf_str(&own), now);
+	if (tell_seeds(gossip, buf_str(&own), now) &&
+	    now - gossip->started_at < SEEDS_WAIT_US)
+		gossip->next_at = now + NEWS_US;
 	buf_free(&all);
 	buf_free(&own);
 }
@@ -297,6 +316,17 @@
 
 /* Receiving. */
 
+/* Not sooner after the last round, however many nodes are new. */
+static void hasten(struct gossip *gossip, int64_t now)
+{
+	int64_t sooner = gossip->told_at + NEWS_US;
+
+	if (sooner < now)
+		sooner = now;
+	if (sooner < gossip->next_at)
+		gossip->next_at = sooner;
+}
+
 static void learn(struct gossip *gossip, const struct member_entry *entry,
 		  int64_t now)
 {
@@ -314,6 +344,7 @@
 		apr_hash_set(gossip->members, &member->entry.ip,
 			     sizeof(member->entry.ip), member);
 		count_live(gossip, now);
+		hasten(gossip, now);
 		return;
 	}
 	/*
@@ -324,6 +355,7 @@
 		if (now - member->heard_at < PERIOD_US / 2 &&
 		    entry->beat > member->entry.beat)
 			return;
+		hasten(gossip, now);
 	} else if (entry->beat <= member->entry.beat) {
 		return;
 	}
--- a/gossip.h
+++ b/gossip.h
@@ -44,7 +44,8 @@
 /**
  * struct gossip - all that is known of nodes
  * @self: what this one tells of itself
- * @next_at: when others are told next
+ * @started_at: of the process
+ * @told_at, @next_at: when others were told last, and are next
  * @near_live: live nodes of the failure domain, this one included
  * @counted: nodes that may hold a part of shared bounds
  */
@@ -57,6 +58,8 @@
 	apr_hash_t *members; /* ip -> struct member_info */
 	uint32_t seeds[SEEDS_MAX];
 	size_t nseeds;
+	int64_t started_at;
+	int64_t told_at;
 	int64_t next_at;
 	int near_live;
 	int counted;
--- a/peer.c
+++ b/peer.c
@@ -16,13 +16,22 @@
 	OUT_MAX = 16 * 1024 * 1024,
 	RETRY_US = 100000,
 	/*
-	 * A VM without power answers nothing, and a connection to it hangs: it
-	 * is given up after this long, also one that takes no more bytes.
+	 * A VM without power answers nothing. A connection that takes no more
+	 * bytes is given up after this long.
 	 */
 	SILENT_US = 1000000,
+	/*
+	 * One that is still opening is opened anew after this long, at the next
+	 * message: its first packet was lost, or came before the VM had power,
+	 * and is sent again only after a second. Nodes are some ms apart.
+	 */
+	OPENING_US = 200000,
 };
 
-/** struct link - connection to a node, opened by this one */
+/**
+ * struct link - connection to a node, opened by this one
+ * @listed: among peers.pending
+ */
 struct link {
 	struct peers *peers;
 	struct str addr;
@@ -37,6 +46,8 @@
 	size_t queued;
 	size_t cap;
 	uint64_t to;
+	bool listed;
+	struct link *next_pending;
 };
 
 /** struct inlet - connection that another node opened */
@@ -49,6 +60,11 @@
 	struct inlet *prev;
 };
 
+/**
+ * struct peers - connections from and to this node
+ * @pending: links with messages or bytes that are to be sent, or still opening;
+ *           a flush after each event need not look at hundreds of others
+ */
 struct peers {
 	struct loop *loop;
 	apr_pool_t *pool;
@@ -58,6 +74,7 @@
 	int fd;
 	struct watch *watch;
 	apr_hash_t *links;
+	struct link *pending;
 	struct inlet *inlets;
 };
 
@@ -76,6 +93,15 @@
 		peers->handler.lost(peers->handler.ctx, link->addr);
 }
 
+static void link_pending(struct link *link)
+{
+	if (link->listed)
+		return;
+	link->listed = true;
+	link->next_pending = link->peers->pending;
+	link->peers->pending = link;
+}
+
 static void link_write(struct link *link)
 {
 	while (link->out.len) {
@@ -131,13 +157,20 @@
 {
 	struct sockaddr_in sin;
 
-	if (link->fd >= 0 || loop_now() < link->retry_at)
+	int64_t now = loop_now();
+
+	if (link->connecting && link->fd >= 0 &&
+	    now - link->opened_at > OPENING_US) {
+		link_close(link, true);
+		link->retry_at = 0;
+	}
+	if (link->fd >= 0 || now < link->retry_at)
 		return;
 	link->fd = os_socket(link->addr, SILENT_US / 1000, &sin);
 	if (link->fd < 0)
 		return;
 	link->connecting = true;
-	link->opened_at = loop_now();
+	link->opened_at = now;
 	link->watch = loop_add(link->peers->loop, link->fd,
 			       APR_POLLIN | APR_POLLOUT, on_link, link);
 	if (connect(link->fd, (struct sockaddr *)&sin, sizeof(sin)) &&
@@ -197,32 +230,40 @@
 			xrealloc(link->queue, link->cap * sizeof(struct msg));
 	}
 	link->queue[link->queued++] = *msg;
+	link_pending(link);
 }
 
-void peers_flush(struct peers *peers)
+static void link_flush(struct link *link)
 {
-	apr_hash_index_t *it;
-
-	for (it = apr_hash_first(NULL, peers->links); it;
-	     it = apr_hash_next(it)) {
-		void *value;
+	link_encode(link);
+	if (link->fd < 0 || !link->out.len)
+		return;
+	if (link->connecting) {
+		/* It stays listed, so that its time is looked at again. */
+		if (loop_now() - link->opened_at > SILENT_US)
+			link_close(link, true);
+		else
+			link_pending(link);
+		return;
+	}
+	if (link->out.len > OUT_MAX)
+		link_close(link, true);
+	else
+		link_write(link);
+}
 
-		apr_hash_this(it, NULL, NULL, &value);
+void peers_flush(struct peers *peers)
+{
+	struct link *link = peers->pending;
 
-		struct link *link = value;
+	/* Links that are lost add messages, for a list of their own. */
+	peers->pending = NULL;
+	while (link) {
+		struct link *next = link->next_pending;
 
-		link_encode(link);
-		if (link->fd < 0 || !link->out.len)
-			continue;
-		if (link->connecting) {
-			if (loop_now() - link->opened_at > SILENT_US)
-				link_close(link, true);
-			continue;
-		}
-		if (link->out.len > OUT_MAX)
-			link_close(link, true);
-		else
-			link_write(link);
+		link->listed = false;
+		link_flush(link);
+		link = next;
 	}
 }
 
--- a/tests/check_tier.c
+++ b/tests/check_tier.c
@@ -482,6 +482,44 @@
 }
 END_TEST
 
+static int count_known(const struct stage *stage, int node)
+{
+	struct buf text = { 0 };
+	const char *line;
+	int nodes = 0;
+
+	tier_metrics(stage->nodes[node].tier, &text);
+	buf_add(&text, "", 1);
+	line = strstr(text.ptr, "\nwasabimoor_nodes ");
+	if (line)
+		sscanf(line, "\nwasabimoor_nodes %d", &nodes);
+	buf_free(&text);
+	return nodes;
+}
+
+/*
+ * All nodes start anew, seeds last. Until a node knows of the others it takes
+ * too large a part of what all may do together: second sends, and requests to
+ * cold targets. So all know of all well within a second of the last start.
+ */
+START_TEST(test_nodes_meet_quickly)
+{
+	struct stage *stage = begin(STAGE_NODES);
+
+	for (int i = 0; i < STAGE_NODES; i++)
+		stage_kill_node(stage, i);
+	stage_run(stage, SECOND_US);
+	for (int i = STAGE_NODES - 1; i >= 0; i--) {
+		stage_start_node(stage, i);
+		stage_run(stage, SECOND_US / 20);
+	}
+	stage_run(stage, SECOND_US * 8 / 10);
+	for (int i = 0; i < STAGE_NODES; i++)
+		ck_assert_int_eq(count_known(stage, i), STAGE_NODES);
+	stage_destroy(stage);
+}
+END_TEST
+
 /*
  * A node is told to stop: it says at once that it is not ready, serves the
  * callers that it still has, gets no more shards from others, and ends only
@@ -591,6 +629,7 @@
 	tcase_add_test(tcase, test_start_alone);
 	tcase_add_test(tcase, test_all_restart);
 	tcase_add_test(tcase, test_quick_return);
+	tcase_add_test(tcase, test_nodes_meet_quickly);
 	tcase_add_test(tcase, test_planned_stop);
 	tcase_add_test(tcase, test_shared_retry_bound);
 	tcase_add_test(tcase, test_store_calls);
