Time to come back: longer while the store is away, spread for all

All who were refused in one moment also returned in one. Ruled out: holding them, as nobody knows for how long.

--- a/call.c
+++ b/call.c
@@ -427,6 +427,11 @@
 	call_end(calls, call);
 }
 
+int64_t call_spread(struct calls *calls, int64_t us)
+{
+	return us - (int64_t)rng_below(&calls->rng, (uint64_t)us / 4 + 1);
+}
+
 void call_refuse(struct calls *calls, struct call *call, int status,
 		 const char *why, int64_t retry_after_us)
 {
@@ -434,14 +439,15 @@
 	struct final final = { .status = status,
 			       .why = why,
 			       .headers = STR("Content-Type: "
-					      "application/json\r\n"),
-			       .retry_after_us = retry_after_us };
+					      "application/json\r\n") };
 
+	if (retry_after_us)
+		final.retry_after_us = call_spread(calls, retry_after_us);
 	error_json(&body,
 		   status == 503   ? ERR_OVERLOADED
 		   : status == 504 ? ERR_DEADLINE
 				   : ERR_BROKEN,
-		   why, retry_after_us / 1000);
+		   why, final.retry_after_us / 1000);
 	final.body = buf_str(&body);
 	call_answer(calls, call, &final);
 	buf_free(&body);
--- a/call.h
+++ b/call.h
@@ -209,6 +209,8 @@
 /** call_answer() - give the final answer; the call ends. */
 void call_answer(struct calls *calls, struct call *call,
 		 const struct final *final);
+/** call_spread() - @us less up to a quarter, so that not all return together */
+int64_t call_spread(struct calls *calls, int64_t us);
 /** call_refuse() - end with an error of this node's own. */
 void call_refuse(struct calls *calls, struct call *call, int status,
 		 const char *why, int64_t retry_after_us);
--- a/tests/check_tier.c
+++ b/tests/check_tier.c
@@ -482,6 +482,42 @@
 }
 END_TEST
 
+/** struct start - a node that has just started, and when callers may return */
+struct start {
+	bool store_down;
+	int64_t after_us;
+	int64_t least_us;
+	int64_t most_us;
+};
+
+static const struct start starts[] = {
+	{ false, 0, 200000, 300000 },
+	{ true, 0, 200000, 300000 },
+	{ true, 2 * SECOND_US, 700000, SECOND_US },
+};
+
+/*
+ * A caller asks a node that has no configuration yet. It is refused at once,
+ * and told to come back: soon while the node is starting as usual, later once
+ * the store is known to be away, so that it is not refused a second time.
+ */
+START_TEST(test_refused_at_start)
+{
+	const struct start *start = &starts[_i];
+	struct stage *stage = stage_create(1, 7);
+	struct stage_call *call;
+
+	stage->store_down = start->store_down;
+	stage_start_node(stage, 0);
+	stage_run(stage, start->after_us);
+	call = &stage->calls[stage_call(stage, 0, STAGE_MERGED)];
+	ck_assert_int_eq(call->status, 503);
+	ck_assert_int_ge(call->retry_after_us, start->least_us);
+	ck_assert_int_le(call->retry_after_us, start->most_us);
+	stage_destroy(stage);
+}
+END_TEST
+
 static int count_known(const struct stage *stage, int node)
 {
 	struct buf text = { 0 };
@@ -630,6 +666,8 @@
 	tcase_add_test(tcase, test_all_restart);
 	tcase_add_test(tcase, test_quick_return);
 	tcase_add_test(tcase, test_nodes_meet_quickly);
+	tcase_add_loop_test(tcase, test_refused_at_start, 0,
+			    sizeof(starts) / sizeof(*starts));
 	tcase_add_test(tcase, test_planned_stop);
 	tcase_add_test(tcase, test_shared_retry_bound);
 	tcase_add_test(tcase, test_store_calls);
--- a/tier.c
+++ b/tier.c
@@ -20,8 +20,13 @@
 	 */
 	LINGER_NUM = 6,
 	LINGER_DEN = 10,
-	/* A node without a configuration tells callers to come back. */
+	/*
+	 * A node without a configuration tells callers to come back: it mostly
+	 * has one within a tenth of a second. While the store does not answer
+	 * it may be long, and a caller that comes too soon is refused again.
+	 */
 	STARTING_RETRY_US = 300000,
+	STORE_AWAY_RETRY_US = 1000000,
 	SWEEP_US = 5000000,
 };
 
@@ -122,6 +127,14 @@
 	buf_free(&body);
 }
 
+static int64_t starting_retry_us(struct tier *tier)
+{
+	bool store_away = tier->reader.failures > 0;
+
+	return call_spread(&tier->calls, store_away ? STORE_AWAY_RETRY_US
+						    : STARTING_RETRY_US);
+}
+
 /*
  * What is read after the process was frozen may have waited as long; the rest
  * of its time may be over. It has not run, and the caller can be told so.
@@ -143,7 +156,7 @@
 
 	if (!tier->dir.catalog) {
 		refuse_early(tier, event->id, 503, ERR_STARTING,
-			     "no configuration yet", STARTING_RETRY_US);
+			     "no configuration yet", starting_retry_us(tier));
 		return;
 	}
 	if (is_stale(event)) {
