Shards that are handed on twice keep their names

A node that is handed a few shards of a question and hands some of these on named them by their place in what it was given, the next node took that for their place in the route: it asked other shards, and their replies counted for those that were wanted. An answer then names a shard twice, or lacks one that it claims. Needs a whole question handed over a second time in part, so a route that allows three targets a shard; the users' allow two. Before: test_rest_handed_on: a part twice; after: each shard once.

--- a/batch.c
+++ b/batch.c
@@ -39,6 +39,32 @@
 	return fx;
 }
 
+/*
+ * Between nodes shards are named by their place in the route. A call for
+ * another node has places of its own, as it may be for a few of them only.
+ */
+static uint16_t *name_shards(const struct call *call, const uint16_t *parts,
+			     size_t nparts)
+{
+	uint16_t *shards =
+		apr_palloc(call->pool, (nparts + 1) * sizeof(*shards));
+
+	for (size_t i = 0; i < nparts; i++)
+		shards[i] = call->wanted ? call->wanted[parts[i]] : parts[i];
+	return shards;
+}
+
+/* Return: the place in the call, or UINT16_MAX when it has no such shard. */
+static uint16_t find_part(const struct call *call, uint16_t shard)
+{
+	if (!call->wanted)
+		return shard;
+	for (size_t i = 0; i < call->nwanted; i++)
+		if (call->wanted[i] == shard)
+			return (uint16_t)i;
+	return UINT16_MAX;
+}
+
 static struct str pack_parts(struct calls *calls, const uint16_t *parts,
 			     size_t nparts)
 {
@@ -81,7 +107,8 @@
 	fx->msg.remaining_us = call->give_up_at - calls->now;
 	fx->msg.wait_us = calls->now - call->start + HOP_US;
 	fx->msg.body = str_dup(calls->fx->pool, buf_str(&body));
-	fx->msg.name = pack_parts(calls, parts, nparts);
+	fx->msg.name =
+		pack_parts(calls, name_shards(call, parts, nparts), nparts);
 	buf_free(&body);
 }
 
@@ -246,6 +273,8 @@
 	parts = apr_palloc(call->pool, msg->name.len + 1);
 	if (msg->name.len)
 		memcpy(parts, msg->name.ptr, msg->name.len);
+	for (size_t i = 0; i < nparts; i++)
+		parts[i] = find_part(call, parts[i]);
 	if (!is_awaited(batch, parts, nparts)) {
 		note_belief(calls->notes, calls->now, "unusable", from,
 			    "it answers for shards that it was not asked for",
--- a/tests/check_tier.c
+++ b/tests/check_tier.c
@@ -286,6 +286,41 @@
 }
 END_TEST
 
+/*
+ * A small VM hands a question to a merging node, which tells most of it and
+ * dies while four shards are late. These go to another merging node, which
+ * hands on the ones that are far from it. Each shard is in the answer once:
+ * nodes name shards as the route does, not as the part of it that they were
+ * given.
+ */
+START_TEST(test_rest_handed_on)
+{
+	struct stage *stage = stage_create(NODES, 7);
+	struct stage_call *call;
+	int index;
+
+	stage_add_targets(stage, "s", 2);
+	stage_configure(stage, 1);
+	stage->nodes[5].settings.core = 0.05;
+	for (int i = 0; i < NODES; i++)
+		stage_start_node(stage, i);
+	stage_settle(stage);
+	for (int i = FULL; i < 2 * FULL; i++)
+		stage->targets[i].paused_until = stage->now + 60000;
+	index = stage_call(stage, 5, STAGE_STRICT);
+	stage_run(stage, 45000);
+	stage_kill_node(stage, 2);
+	stage_run(stage, SECOND_US);
+	call = &stage->calls[index];
+	ck_assert_int_eq(call->status, 200);
+	ck_assert(!call->duplicate_part);
+	ck_assert(!call->foreign_part);
+	ck_assert(!call->not_greatest);
+	ck_assert_int_ge(call->parts, FULL - 1);
+	stage_destroy(stage);
+}
+END_TEST
+
 /*
  * A node freezes just as it is handed shards, for longer than the caller waits.
  * When it wakes the question is over, and no target gets its shards any more.
@@ -657,6 +692,7 @@
 	tcase_add_test(tcase, test_once_goes_on);
 	tcase_add_loop_test(tcase, test_merging_node_lost, 0,
 			    COUNT(node_faults));
+	tcase_add_test(tcase, test_rest_handed_on);
 	tcase_add_test(tcase, test_stale_batch);
 	tcase_add_test(tcase, test_reshard);
 	tcase_add_test(tcase, test_domain_out);
--- a/tests/stage.c
+++ b/tests/stage.c
@@ -198,6 +198,7 @@
 		pool, (STAGE_SHARDS + 1) * sizeof(*catalog->services));
 	add_merged(catalog, "/all/", 0.7, fmt);
 	add_merged(catalog, "/strict/", 0.9, fmt);
+	catalog->routes[1].attempts = 3;
 	for (int i = 0; i < STAGE_SHARDS; i++)
 		add_service(catalog, text(pool, fmt, i));
 	add_service(catalog, STR("single"));
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -23,7 +23,8 @@
 /** enum stage_kind - kinds of requests, one route each */
 enum stage_kind {
 	STAGE_MERGED, /* over all shards, 0.7 of them at least */
-	STAGE_STRICT, /* over all shards, one may be missing */
+	STAGE_STRICT, /* over all shards, one may be missing; three targets each
+		       */
 	STAGE_SINGLE, /* may run more than once */
 	STAGE_ONCE, /* may run once only */
 };
