--- a/roster.c
+++ b/roster.c
@@ -18,7 +18,7 @@
 	 * Another failure domain costs two more hops, and bytes between
 	 * domains that are paid for: worth a wait of this long.
 	 */
-	FAR_WAIT_US = 20000,
+	FAR_WAIT_US = 35000,
 	/*
 	 * Slow targets must be seen to have recovered: without requests the
 	 * smoothed time halves each second, until one tries it again.
