Nodes that do not serve yet keep their part of free second sends

Cause: read as a newcomer: the parts were set by the nodes that serve, so that after a common start the first ones that do would each take most of the bound. Now all that may merge count that were heard of in the last 15 s.

--- a/call.c
+++ b/call.c
@@ -12,6 +12,8 @@
 	 * work for callers that have gone. Callers count half a second.
 	 */
 	ORPHAN_US = 250000,
+	/* Callers' returns are spread over this part of the time to it. */
+	SPREAD_PART = 4,
 	/* Past the time told to a target, for its own refusal to arrive. */
 	REPLY_SLACK_US = 30000,
 };
@@ -430,7 +432,9 @@
 
 int64_t call_spread(struct calls *calls, int64_t us)
 {
-	return us - (int64_t)rng_below(&calls->rng, (uint64_t)us / 4 + 1);
+	uint64_t most = (uint64_t)us / SPREAD_PART + 1;
+
+	return us - (int64_t)rng_below(&calls->rng, most);
 }
 
 void call_refuse(struct calls *calls, struct call *call, int status,
--- a/call.h
+++ b/call.h
@@ -63,7 +63,9 @@
 enum {
 	/* Targets of a shard that are kept in mind. */
 	CALL_TRIES_MAX = 4,
-	/* Sends for it: a target that rejects three of five takes one of five.
+	/*
+	 * Sends of a shard: of a target that rejects three of five requests,
+	 * five tries leave one question in thirteen without it.
 	 */
 	CALL_SENDS_MAX = 5,
 };
--- a/gossip.c
+++ b/gossip.c
@@ -110,6 +110,11 @@
 	return now - member->heard_at < (member->near ? DOWN_US : FAR_DOWN_US);
 }
 
+bool gossip_counts(const struct member_info *member, int64_t now)
+{
+	return now - member->heard_at < COUNT_US;
+}
+
 bool gossip_is_live(const struct member_info *member, int64_t now)
 {
 	return is_up(member, now) && !(member->entry.state & MEMBER_LEAVES);
@@ -173,7 +178,7 @@
 	     it = apr_hash_next(it)) {
 		struct member_info *member = hash_value(it);
 
-		if (now - member->heard_at < COUNT_US)
+		if (gossip_counts(member, now))
 			counted++;
 		if (gossip_is_live(member, now) && member->near)
 			gossip->near_live++;
@@ -230,7 +235,7 @@
 		struct member_info *member = hash_value(it);
 		size_t place;
 
-		if (member->near != near || now - member->heard_at >= COUNT_US)
+		if (member->near != near || !gossip_counts(member, now))
 			continue;
 		place = seen++;
 		if (place >= most)
--- a/gossip.h
+++ b/gossip.h
@@ -87,6 +87,8 @@
  */
 int64_t gossip_delay(struct gossip *gossip, struct str addr,
 		     uint64_t incarnation, int64_t sent_us, int64_t now);
+/** gossip_counts() - heard of so lately that it has a part of shared bounds. */
+bool gossip_counts(const struct member_info *member, int64_t now);
 /** gossip_count() - nodes that may hold a part of shared bounds. */
 int gossip_count(const struct gossip *gossip);
 bool gossip_is_live(const struct member_info *member, int64_t now);
--- a/spread.c
+++ b/spread.c
@@ -16,11 +16,6 @@
 	 * it tells at a third of a question's goal that it is at work.
 	 */
 	OVERDUE_US = 80000,
-	/*
-	 * Nodes that merged lately count: what they sent is still within the
-	 * window of the bound, and they may only be out of reach.
-	 */
-	MOST_US = 15000000,
 };
 
 /*
@@ -142,8 +137,17 @@
 	return kept;
 }
 
-static size_t find_runners(struct spread *spread, uint64_t domain, int64_t now,
-			   struct runner *runners)
+static bool may_run(const struct member_info *member, bool later, int64_t now)
+{
+	if (later)
+		return gossip_counts(member, now);
+	return (member->entry.state & MEMBER_SERVES) &&
+	       gossip_is_live(member, now);
+}
+
+/* @later: also those that do not serve yet, or not any more. */
+static size_t find_runners(struct spread *spread, uint64_t domain, bool later,
+			   int64_t now, struct runner *runners)
 {
 	const struct gossip *gossip = spread->gossip;
 	apr_hash_index_t *it;
@@ -159,8 +163,7 @@
 		struct member_info *member = hash_value(it);
 
 		if (member->entry.domain != domain ||
-		    !(member->entry.state & MEMBER_SERVES) ||
-		    !gossip_is_live(member, now) || count == SPREAD_MERGERS_MAX)
+		    !may_run(member, later, now) || count == SPREAD_MERGERS_MAX)
 			continue;
 		runners[count++] =
 			(struct runner){ member, domain, member->entry.core,
@@ -221,16 +224,32 @@
 	return each > MERGERS_LEAST ? each : MERGERS_LEAST;
 }
 
-static void count_most(struct spread_plan *plan, size_t known, int64_t known_at)
+/*
+ * How many nodes may merge, for their parts of a shared bound. Those that have
+ * just started and do not serve yet count: else each of those that do takes too
+ * much. So do those that went lately: what they sent is still in the bound's
+ * window.
+ */
+static size_t count_sharing(struct spread *spread,
+			    const struct catalog *catalog,
+			    const struct route *route,
+			    const struct cover *covers, size_t domains,
+			    uint32_t best, int64_t now)
 {
-	size_t merging = plan->count + plan->self;
-
-	plan->most = merging;
-	plan->most_at = plan->made_at;
-	if (merging >= known || plan->made_at - known_at > MOST_US)
-		return;
-	plan->most = known;
-	plan->most_at = known_at;
+	size_t most = mergers_each(catalog, route, domains ? domains : 1);
+	struct runner runners[SPREAD_MERGERS_MAX + 1];
+	size_t sharing = 0;
+
+	for (size_t i = 0; i < domains; i++) {
+		size_t count = find_runners(spread, covers[i].domain, true, now,
+					    runners);
+		size_t able = 0;
+
+		for (size_t j = 0; j < count; j++)
+			able += (double)runners[j].core >= CORE_PART * best;
+		sharing += able < most ? able : most;
+	}
+	return sharing;
 }
 
 static void make_plan(struct spread *spread, struct spread_plan *plan,
@@ -241,29 +260,27 @@
 	struct runner runners[SPREAD_MERGERS_MAX + 1];
 	size_t domains = find_domains(spread, route, now, covers);
 	uint32_t best = 0;
-	bool same = plan->route == str_hash(route->name);
-	size_t most = same ? plan->most : 0;
-	int64_t most_at = plan->most_at;
 
 	*plan = (struct spread_plan){ .route = str_hash(route->name),
 				      .version = catalog->version,
 				      .made_at = now };
 	for (size_t i = 0; i < domains; i++) {
-		size_t count =
-			find_runners(spread, covers[i].domain, now, runners);
+		size_t count = find_runners(spread, covers[i].domain, false,
+					    now, runners);
 		uint32_t core = best_core(runners, count);
 
 		best = core > best ? core : best;
 	}
 	for (size_t i = 0; i < domains; i++) {
-		size_t count =
-			find_runners(spread, covers[i].domain, now, runners);
+		size_t count = find_runners(spread, covers[i].domain, false,
+					    now, runners);
 
 		take_runners(plan, runners, count,
 			     mergers_each(catalog, route, domains),
 			     CORE_PART * best);
 	}
-	count_most(plan, most, most_at);
+	plan->sharing = count_sharing(spread, catalog, route, covers, domains,
+				      best, now);
 }
 
 static const struct spread_plan *get_plan(struct spread *spread,
@@ -304,11 +321,11 @@
 	const struct spread_plan *plan = get_plan(spread, catalog, route, now);
 	size_t nodes = (size_t)gossip_count(spread->gossip);
 
-	if (!plan->most || plan->most >= nodes)
+	if (!plan->sharing || plan->sharing >= nodes)
 		return 1.0 / (double)nodes;
 	if (plan->self)
-		return MERGERS_SHARE / (double)plan->most;
-	return (1 - MERGERS_SHARE) / (double)(nodes - plan->most);
+		return MERGERS_SHARE / (double)plan->sharing;
+	return (1 - MERGERS_SHARE) / (double)(nodes - plan->sharing);
 }
 
 /* Of two drawn at random the one with less to do, near ones before others. */
--- a/spread.h
+++ b/spread.h
@@ -25,7 +25,7 @@
  * @route: hash of its name; @version: of the configuration
  * @members: other nodes that merge
  * @self: this node merges
- * @most: most nodes that merged, this one included, since @most_at or so
+ * @sharing: nodes that merge, have merged lately or soon will
  */
 struct spread_plan {
 	uint64_t route;
@@ -34,8 +34,7 @@
 	struct member_info *members[SPREAD_MERGERS_MAX];
 	size_t count;
 	bool self;
-	size_t most;
-	int64_t most_at;
+	size_t sharing;
 };
 
 struct spread {
--- a/tests/check_load.c
+++ b/tests/check_load.c
@@ -194,12 +194,14 @@
 {
 	const struct pattern *pattern = &patterns[_i];
 	struct stage *stage = begin(pattern->small);
+	/* The log of one question, by its number. */
+	const char *traced = getenv("TRACE");
 	struct result result;
 	double extra;
 	int from;
 
-	if (getenv("TRACE"))
-		stage->traced = atoi(getenv("TRACE"));
+	if (traced)
+		stage->traced = atoi(traced);
 	load(stage, pattern, LEARN_US);
 	from = stage->ncalls;
 	stage->first_sends = stage->extra_sends = 0;
