--- a/tests/check_tier.c
+++ b/tests/check_tier.c
@@ -635,6 +635,39 @@
 }
 END_TEST
 
+/*
+ * All nodes start anew, one after the other, while all targets reject half of
+ * their requests, and few questions come, so that the free part of the bound is
+ * most of it. The first nodes that serve know of few others, or of some that do
+ * not serve yet: they must not take the others' parts.
+ */
+START_TEST(test_retry_bound_after_start)
+{
+	struct stage *stage = begin(STAGE_NODES);
+
+	for (int i = 0; i < 2 * FULL; i++)
+		stage->targets[i].shed = 0.5;
+	for (int i = 0; i < STAGE_NODES; i++) {
+		stage_kill_node(stage, i);
+		stage->nodes[i].settings.core = i < 3 ? 0.25 : 0.05;
+	}
+	stage_run(stage, SECOND_US);
+	for (int i = STAGE_NODES - 1; i >= 0; i--) {
+		stage_start_node(stage, i);
+		stage_run(stage, GOAL_US);
+	}
+	stage->first_sends = stage->extra_sends = 0;
+	for (int i = 0; i < 300; i++) {
+		stage_call(stage, i % STAGE_NODES, STAGE_MERGED);
+		stage_run(stage, 30000);
+	}
+	ck_assert_int_gt(stage->first_sends, 0);
+	ck_assert_int_le(stage->extra_sends,
+			 stage->first_sends / 5 + 60 * FULL);
+	stage_destroy(stage);
+}
+END_TEST
+
 /*
  * Nine nodes for a minute, nothing changes: one node a failure domain waits at
  * the store, the others hear from it.
@@ -706,6 +739,7 @@
 			    sizeof(starts) / sizeof(*starts));
 	tcase_add_test(tcase, test_planned_stop);
 	tcase_add_test(tcase, test_shared_retry_bound);
+	tcase_add_test(tcase, test_retry_bound_after_start);
 	tcase_add_test(tcase, test_store_calls);
 	tcase_add_test(tcase, test_store_away);
 }
