--- /dev/null
+++ b/tests/stage_dialect.c
@@ -0,0 +1,141 @@
+#include "stage_dialect.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "stage.h"
+
+enum {
+	GOAL_US = 100000,
+	RESHARD_VERSION = 10,
+	TOP = 4,
+};
+
+static const struct str prefixes[] = { { "all/", 4 } };
+
+static enum fact_kind fake_kind(struct str key)
+{
+	if (key.len < 5)
+		return FACT_NONE;
+	switch (key.ptr[4]) {
+	case 'c':
+		return FACT_CATALOG;
+	case 't':
+		return FACT_TARGET;
+	case 'o':
+		return FACT_DOMAIN_OUT;
+	default:
+		return FACT_NONE;
+	}
+}
+
+struct str stage_text(apr_pool_t *pool, const char *fmt, int number)
+{
+	char out[32];
+	int len = snprintf(out, sizeof(out), fmt, number);
+
+	return str_dup(pool, (struct str){ out, (size_t)len });
+}
+
+static void add_service(struct catalog *catalog, struct str name)
+{
+	catalog->services[catalog->nservices++] = (struct service){
+		.name = name, .key = str_hash(name), .max_conns = 64
+	};
+}
+
+static struct route *add_route(struct catalog *catalog, const char *name)
+{
+	struct route *route = &catalog->routes[catalog->nroutes++];
+
+	*route = (struct route){ .name = str_of(name),
+				 .host = STR("h"),
+				 .prefix = str_of(name),
+				 .repeatable = true,
+				 .timeout_us = TIMEOUT_US,
+				 .goal_us = GOAL_US,
+				 .attempts = 2 };
+	return route;
+}
+
+static void add_single(struct catalog *catalog, const char *name,
+		       bool repeatable)
+{
+	struct route *route = add_route(catalog, name);
+
+	route->repeatable = repeatable;
+	route->shares = apr_pcalloc(catalog->pool, sizeof(*route->shares));
+	route->shares[0] = (struct weighted){ str_hash(STR("single")), 1 };
+	route->nshares = 1;
+}
+
+static void add_merged(struct catalog *catalog, const char *name, double least,
+		       const char *fmt)
+{
+	struct route *route = add_route(catalog, name);
+
+	route->top = TOP;
+	route->least = least;
+	route->shards =
+		apr_pcalloc(catalog->pool, STAGE_SHARDS * sizeof(uint64_t));
+	for (int i = 0; i < STAGE_SHARDS; i++)
+		route->shards[route->nshards++] =
+			str_hash(stage_text(catalog->pool, fmt, i));
+}
+
+static struct catalog *make_catalog(uint64_t version)
+{
+	struct catalog *catalog = catalog_create();
+	apr_pool_t *pool = catalog->pool;
+	const char *fmt = version >= RESHARD_VERSION ? "r%d" : "s%d";
+
+	catalog->version = version;
+	catalog->routes = apr_pcalloc(pool, 5 * sizeof(*catalog->routes));
+	catalog->services = apr_pcalloc(
+		pool, (STAGE_SHARDS + 1) * sizeof(*catalog->services));
+	add_merged(catalog, "/all/", 0.7, fmt);
+	add_merged(catalog, "/strict/", 0.9, fmt);
+	catalog->routes[1].attempts = 3;
+	for (int i = 0; i < STAGE_SHARDS; i++)
+		add_service(catalog, stage_text(pool, fmt, i));
+	add_service(catalog, STR("single"));
+	add_single(catalog, "/one/", true);
+	add_single(catalog, "/once/", false);
+	return catalog;
+}
+
+static int fake_decode(struct str key, struct str value, struct fact *out,
+		       apr_pool_t *pool, struct error *err)
+{
+	char service[32];
+	char addr[32];
+	int domain;
+	int leaving;
+
+	*out = (struct fact){ .kind = fake_kind(key) };
+	if (out->kind == FACT_CATALOG)
+		out->catalog = make_catalog(strtoull(value.ptr, NULL, 10));
+	if (out->kind == FACT_DOMAIN_OUT)
+		out->domain =
+			str_dup(pool, (struct str){ key.ptr + 6, key.len - 6 });
+	if (out->kind != FACT_TARGET)
+		return 0;
+	out->target.id =
+		str_dup(pool, (struct str){ key.ptr + 6, key.len - 6 });
+	if (sscanf(value.ptr, "%31s %31s %d %d", service, addr, &domain,
+		   &leaving) != 4)
+		return error_set(err, ERR_LIST, "entry");
+	out->target.service = str_hash(str_of(service));
+	out->target.addr = str_dup(pool, str_of(addr));
+	out->target.domain = stage_text(pool, "d%d", domain);
+	out->target.slots = 2;
+	out->target.leaving = leaving;
+	return 0;
+}
+
+const struct dialect stage_dialect = {
+	.prefixes = prefixes,
+	.nprefixes = 1,
+	.kind = fake_kind,
+	.decode = fake_decode,
+};
--- /dev/null
+++ b/tests/stage_dialect.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "../dialect.h"
+
+/**
+ * DOC: what the virtual platform says
+ *
+ * A dialect of the tests' own: keys, entries and configurations in a few words,
+ * which shows that the reducer does not depend on the platform's.
+ */
+
+enum {
+	/* Longest wait of all routes. */
+	TIMEOUT_US = 1000000,
+};
+
+extern const struct dialect stage_dialect;
+
+/** stage_text() - @fmt with one number, in @pool. */
+struct str stage_text(apr_pool_t *pool, const char *fmt, int number);
