--- a/gossip.c
+++ b/gossip.c
@@ -9,10 +9,10 @@
 enum {
 	PERIOD_US = 1000000,
 	/*
-	 * Word of a new node goes on this soon. When
-	 * all VMs start anew a period took three times as long to bring it
-	 * round as they took to be ready: until then each counts few others, so
-	 * its part of shared bounds is too large, and small VMs merge.
+	 * Word of a new node goes on this soon. When all VMs start anew a
+	 * period took three times as long to bring it round as they took to be
+	 * ready: until then each counts few others, so its part of shared
+	 * bounds is too large, and small VMs merge.
 	 */
 	NEWS_US = 150000,
 	/*
@@ -20,8 +20,7 @@
 	 * round is work for a small VM, while a start is under way.
 	 */
 	NEWS_NODES = 100,
-	/* The same for seeds that have not answered, this long from the start.
-	 */
+	/* Seeds that do not answer are told again as soon, for this long. */
 	SEEDS_WAIT_US = 3000000,
 	/*
 	 * Nodes of the own failure domain that are told all, each period: word
@@ -251,7 +250,7 @@
 	return seen < most ? seen : most;
 }
 
-/* Return: whether some could not be told of, or have not answered yet. */
+/* Return: whether some seeds have not answered yet. */
 static bool tell_seeds(struct gossip *gossip, struct str body, int64_t now)
 {
 	bool any = false;
--- a/tests/check_load.c
+++ b/tests/check_load.c
@@ -20,6 +20,7 @@
 	LEARN_US = 2 * SECOND_US,
 	JUDGED_US = 8 * SECOND_US,
 	WORK_US = 10000,
+	/* Failed questions that are told of. */
 	TOLD = 3,
 };
 
