A refusal by full targets says so again

Ruled out: the refusal itself, which is true and has its time to come back. Before: why "no target may be asked"; after: "the target is full".

--- a/forward.c
+++ b/forward.c
@@ -48,6 +48,13 @@
 		call_refuse(calls, call, 502, why, 0);
 }
 
+/* Targets that rejected it may be asked again, and still be full. */
+static const char *why_held(const struct call *call)
+{
+	return call->parts[0].rejected ? "the target is full"
+				       : "no target may be asked";
+}
+
 static int64_t wait_until(const struct call *call)
 {
 	return call->start +
@@ -103,7 +110,7 @@
 		return;
 	}
 	if (!call->parts[0].open) {
-		try_again(calls, call, "no target may be asked");
+		try_again(calls, call, why_held(call));
 		if (!call->attempts)
 			return;
 	} else if (call->route->repeatable && call->parts[0].open == 1) {
