--- a/tests/check_tier.c
+++ b/tests/check_tier.c
@@ -32,6 +32,14 @@
 	return stage;
 }
 
+/* All nodes are without power for a second; the test starts them anew. */
+static void lose_power(struct stage *stage, int nodes)
+{
+	for (int i = 0; i < nodes; i++)
+		stage_kill_node(stage, i);
+	stage_run(stage, SECOND_US);
+}
+
 static int64_t took(const struct stage_call *call)
 {
 	return call->answered_at - call->start;
@@ -481,9 +489,7 @@
 	stage_add_targets(stage, "r", 2);
 	stage_run(stage, SECOND_US);
 	stage_configure(stage, 12);
-	for (int i = 0; i < NODES; i++)
-		stage_kill_node(stage, i);
-	stage_run(stage, SECOND_US);
+	lose_power(stage, NODES);
 	for (int i = 0; i < NODES; i++)
 		stage_start_node(stage, i);
 	stage_run(stage, 2 * SECOND_US);
@@ -506,9 +512,7 @@
 	struct stage *stage = begin(NODES);
 	bool ready;
 
-	for (int i = 0; i < NODES; i++)
-		stage_kill_node(stage, i);
-	stage_run(stage, SECOND_US);
+	lose_power(stage, NODES);
 	for (int i = NODES - 1; i >= 0; i--) {
 		stage_start_node(stage, i);
 		stage_run(stage, GOAL_US);
@@ -579,9 +583,7 @@
 {
 	struct stage *stage = begin(NINE);
 
-	for (int i = 0; i < NINE; i++)
-		stage_kill_node(stage, i);
-	stage_run(stage, SECOND_US);
+	lose_power(stage, NINE);
 	for (int i = NINE - 1; i >= 0; i--) {
 		stage_start_node(stage, i);
 		stage_run(stage, SECOND_US / 20);
@@ -647,9 +649,7 @@
 	struct stage *stage = begin(MANY);
 	uint64_t before;
 
-	for (int i = 0; i < MANY; i++)
-		stage_kill_node(stage, i);
-	stage_run(stage, SECOND_US);
+	lose_power(stage, MANY);
 	before = stage->store_calls;
 	for (int i = 0; i < MANY; i++) {
 		stage_start_node(stage, i);
