What is known of a target is its slowness, whatever the kind of request

Cause: each target had one smoothed time for short and long requests alike, begun at a guess of 10 ms and ten replies away from the truth: after a loss of power all targets looked overdue for a second, and short requests (9 ms) were hedged and placed by the times of long ones (28 ms). Change: a running median of the replies to each route (usual.c); a target is known by how much slower than that it is.

--- a/call.c
+++ b/call.c
@@ -16,6 +16,9 @@
 	SPREAD_PART = 4,
 	/* Past the time told to a target, for its own refusal to arrive. */
 	REPLY_SLACK_US = 30000,
+	/* A reply is taken to need this part of the goal until some have come.
+	 */
+	GUESS_GOAL_PART = 8,
 };
 
 void calls_init(struct calls *calls, apr_pool_t *pool, uint64_t seed)
@@ -23,6 +26,7 @@
 	*calls = (struct calls){ .pool = pool, .rng.seed = seed };
 	calls->open = hash_make(pool);
 	calls->attempts = hash_make(pool);
+	calls->usual = hash_make(pool);
 }
 
 static void free_all(apr_hash_t *hash)
@@ -49,6 +53,7 @@
 	}
 	calls_reap(calls);
 	free_all(calls->attempts);
+	free_all(calls->usual);
 	timers_free(&calls->timers);
 }
 
@@ -92,6 +97,8 @@
 	call->request = copy_request(pool, request);
 	call->catalog = catalog_ref(catalog);
 	call->route = route;
+	call->usual = usual_get(calls->usual, str_hash(route->name),
+				route->goal_us / GUESS_GOAL_PART);
 	call->start = calls->now;
 	if (request->time_left_us >= 0 && request->time_left_us < wait)
 		wait = request->time_left_us;
@@ -160,7 +167,7 @@
 	fx->id = attempt->id;
 	metric_add(&calls->notes->metrics, METRIC_CUT);
 	roster_answered(calls->roster, attempt->target, REPLY_DROPPED,
-			attempt->sent_at, calls->now);
+			attempt->usual_us, attempt->sent_at, calls->now);
 	apr_hash_set(calls->attempts, &attempt->id, sizeof(attempt->id), NULL);
 	free(attempt);
 }
@@ -197,6 +204,8 @@
 	attempt->part = part;
 	attempt->target = target;
 	attempt->sent_at = calls->now;
+	attempt->usual = call->usual;
+	attempt->usual_us = call->usual->us;
 	attempt->extra = p->ntried > 0;
 	attempt->next = call->attempts;
 	call->attempts = attempt;
@@ -205,7 +214,7 @@
 	remember_tried(p, target->key);
 	p->nsent++;
 	p->open++;
-	roster_sent(calls->roster, target, calls->now);
+	roster_sent(calls->roster, target, attempt->usual_us, calls->now);
 	fx->id = attempt->id;
 	fx->addr = str_dup(calls->fx->pool, target->addr);
 	fx->expected = str_dup(calls->fx->pool, target->id);
@@ -240,6 +249,7 @@
 	uint64_t avoid[CALL_TRIES_MAX];
 	struct choice choice = { .service = part->service,
 				 .avoid = avoid,
+				 .usual_us = call->usual->us,
 				 .goal_us = call->route->goal_us,
 				 .now = calls->now };
 	struct live_target *target;
@@ -260,6 +270,7 @@
 	struct choice choice = { .service = part->service,
 				 .avoid = part->tried,
 				 .navoid = part->ntried,
+				 .usual_us = call->usual->us,
 				 .goal_us = call->route->goal_us,
 				 .now = calls->now };
 	struct live_target *target = NULL;
@@ -351,13 +362,15 @@
 	free(attempt);
 	if (call && judge(reply) != REPLY_GOOD)
 		note_tried(calls->notes, calls->now, call, &copy, reply);
-	if (judge(reply) == REPLY_GOOD)
+	if (judge(reply) == REPLY_GOOD) {
 		metric_latency(&calls->notes->metrics, LATENCY_TARGET,
 			       calls->now - copy.sent_at);
+		usual_add(copy.usual, calls->now - copy.sent_at);
+	}
 	if (reply->cold_us > 0)
 		copy.target->cold_until = calls->now + reply->cold_us;
-	roster_answered(calls->roster, copy.target, judge(reply), copy.sent_at,
-			calls->now);
+	roster_answered(calls->roster, copy.target, judge(reply), copy.usual_us,
+			copy.sent_at, calls->now);
 	if (!call)
 		return;
 	if (reply->result != FETCH_REFUSED && !reply->not_run && !reply->other)
--- a/call.h
+++ b/call.h
@@ -6,6 +6,7 @@
 #include "rng.h"
 #include "roster.h"
 #include "timer.h"
+#include "usual.h"
 
 /**
  * DOC: calls and attempts
@@ -23,6 +24,7 @@
  * struct attempt - a request under way to a target
  * @call: NULL when nobody waits for it any more
  * @part: index of the shard within the call
+ * @usual: how long such replies take; @usual_us: when it was sent
  * @extra: not the first for its shard
  */
 struct attempt {
@@ -31,6 +33,8 @@
 	size_t part;
 	struct live_target *target;
 	int64_t sent_at;
+	struct usual *usual;
+	double usual_us;
 	bool extra;
 	struct attempt *next; /* of the same call */
 };
@@ -101,6 +105,7 @@
  * @id: of the caller's request, or drawn here for another node's
  * @asker: node that asked on behalf of a caller, empty when a caller did
  * @asker_id: its id there
+ * @usual: how long replies of its route take
  * @give_up_at: the caller, or its route, waits no longer
  * @soft_at: what is there is answered if it is enough
  * @review_at: next review; 0 when none is planned
@@ -121,6 +126,7 @@
 	struct catalog *catalog;
 	const struct route *route;
 	const struct call_kind *kind;
+	struct usual *usual;
 	struct str asker;
 	uint64_t asker_incarnation;
 	uint64_t asker_id;
@@ -151,6 +157,7 @@
  * @fx: effects of the event at hand
  * @open: id -> struct call
  * @attempts: id -> struct attempt
+ * @usual: hash of a route's name -> struct usual
  * @dead: ended; freed by calls_reap()
  * @shards_kind: of calls that other nodes ask this one for
  */
@@ -164,6 +171,7 @@
 	struct rng rng;
 	apr_hash_t *open;
 	apr_hash_t *attempts;
+	apr_hash_t *usual;
 	uint64_t next_id;
 	struct call *dead;
 	size_t nopen;
--- a/merge.c
+++ b/merge.c
@@ -88,7 +88,9 @@
 static int64_t hedge_after(const struct call *call,
 			   const struct attempt *attempt)
 {
-	int64_t late = (int64_t)(attempt->target->service_us * HEDGE_TIMES);
+	int64_t late =
+		(int64_t)(roster_reply_us(attempt->target, attempt->usual_us) *
+			  HEDGE_TIMES);
 	int64_t most =
 		(int64_t)((double)call->route->goal_us * HEDGE_GOAL_PART);
 
@@ -383,10 +385,15 @@
 
 static void send_near(struct calls *calls, struct call *call)
 {
-	for (size_t i = 0; i < call->nparts; i++)
-		if (roster_near_first(calls->roster, call->parts[i].service,
-				      call->route->goal_us, calls->now))
+	struct choice choice = { .usual_us = call->usual->us,
+				 .goal_us = call->route->goal_us,
+				 .now = calls->now };
+
+	for (size_t i = 0; i < call->nparts; i++) {
+		choice.service = call->parts[i].service;
+		if (roster_near_first(calls->roster, &choice))
 			call_send(calls, call, i);
+	}
 }
 
 static void send_rest(struct calls *calls, struct call *call)
--- a/roster.c
+++ b/roster.c
@@ -5,8 +5,6 @@
 #include "xmalloc.h"
 
 enum {
-	/* First guess of a reply's time, until one has been seen. */
-	SERVICE_GUESS_US = 10000,
 	/* A reply over this multiple of the usual time is overdue. */
 	OVERDUE_TIMES = 2,
 	/*
@@ -191,7 +189,7 @@
 	target->near = str_eq(entry->domain, roster->domain);
 	target->service = entry->service;
 	target->born_ms = entry->born_ms;
-	target->service_us = SERVICE_GUESS_US;
+	target->slowness = 1;
 	target->next = group->first;
 	group->first = target;
 	apr_hash_set(roster->targets, &target->key, sizeof(target->key),
@@ -290,21 +288,21 @@
 	group_get(roster, service)->conns = bound;
 }
 
-static double remembered_us(const struct live_target *target, int64_t now)
+static double remembered(const struct live_target *target, int64_t now)
 {
 	/* A first slow reply may be a pause, which ends by itself. */
 	int confirmed = target->slow_tries > 1 ? target->slow_tries - 1 : 0;
 	double half = (double)(FORGET_HALF_US << confirmed);
-	double halvings = (double)(now - target->service_at) / half;
-	double us = target->service_us;
+	double halvings = (double)(now - target->slowness_at) / half;
+	double slowness = target->slowness;
 
-	if (!target->service_at || halvings < 0.1)
-		return us;
-	while (halvings > 0 && us > SERVICE_GUESS_US) {
-		us *= halvings >= 1 ? 0.5 : 1 - halvings / 2;
+	if (!target->slowness_at || halvings < 0.1)
+		return slowness;
+	while (halvings > 0 && slowness > 1) {
+		slowness *= halvings >= 1 ? 0.5 : 1 - halvings / 2;
 		halvings -= 1;
 	}
-	return us;
+	return slowness;
 }
 
 /* It has not answered within a multiple of its usual time: a pause, mostly. */
@@ -312,7 +310,7 @@
 {
 	int64_t age = target->asked_at ? now - target->asked_at : 0;
 
-	return age > (int64_t)(remembered_us(target, now) * OVERDUE_TIMES);
+	return age > (int64_t)(target->asked_us * OVERDUE_TIMES);
 }
 
 /*
@@ -321,8 +319,9 @@
  * half of the goal, one at least.
  */
 static bool is_busy(const struct group *group, const struct live_target *target,
-		    int64_t goal_us)
+		    double usual_us, int64_t goal_us)
 {
+	double us = roster_reply_us(target, usual_us);
 	int most;
 
 	if (!group)
@@ -332,8 +331,8 @@
 		return false;
 	if (target->slots && most > target->slots)
 		most = target->slots;
-	if (goal_us && target->service_us * 2 > (double)goal_us)
-		most = (int)(most * (double)goal_us / (target->service_us * 2));
+	if (goal_us && us * 2 > (double)goal_us)
+		most = (int)(most * (double)goal_us / (us * 2));
 	return target->open >= (most > 1 ? most : 1);
 }
 
@@ -361,7 +360,7 @@
  */
 static bool is_silent(const struct live_target *target, int64_t now)
 {
-	int64_t patience = (int64_t)(target->service_us * SILENT_TIMES);
+	int64_t patience = (int64_t)(target->asked_us * SILENT_TIMES);
 
 	if (patience < SILENT_US)
 		patience = SILENT_US;
@@ -371,7 +370,7 @@
 
 static enum target_use use_for(const struct roster *roster,
 			       const struct live_target *target,
-			       int64_t goal_us, int64_t now)
+			       double usual_us, int64_t goal_us, int64_t now)
 {
 	const struct group *group = group_find(roster, target->service);
 
@@ -394,7 +393,7 @@
 		return USE_SILENT;
 	if (cold_is_full(group, target, now))
 		return USE_COLD;
-	if (is_busy(group, target, goal_us))
+	if (is_busy(group, target, usual_us, goal_us))
 		return USE_BUSY;
 	return USE_OK;
 }
@@ -402,7 +401,7 @@
 enum target_use roster_use(const struct roster *roster,
 			   const struct live_target *target, int64_t now)
 {
-	return use_for(roster, target, 0, now);
+	return use_for(roster, target, 0, 0, now);
 }
 
 static double fault_share(const struct live_target *target, int64_t now)
@@ -420,9 +419,15 @@
 	target->faults_at = now;
 }
 
-int64_t roster_expect(const struct live_target *target, int64_t now)
+double roster_reply_us(const struct live_target *target, double usual_us)
+{
+	return usual_us * target->slowness;
+}
+
+int64_t roster_expect(const struct live_target *target, double usual_us,
+		      int64_t now)
 {
-	double us = remembered_us(target, now);
+	double us = usual_us * remembered(target, now);
 	int slots = target->slots > 0 ? target->slots : 1;
 	double queued = (double)target->open / slots;
 	int64_t expected = (int64_t)(us * (1 + queued));
@@ -461,9 +466,11 @@
  * as late; to wait is better. With one of a shard's two targets slow, of 100
  * first sends 0.3 are sent again instead of 1.6, and all answers are in time.
  */
-static int64_t expect_busy(const struct live_target *target, int64_t now)
+static int64_t expect_busy(const struct live_target *target,
+			   const struct choice *choice)
 {
-	return roster_expect(target, now) + (int64_t)target->service_us;
+	return roster_expect(target, choice->usual_us, choice->now) +
+	       (int64_t)roster_reply_us(target, choice->usual_us);
 }
 
 struct live_target *roster_choose(struct roster *roster,
@@ -475,18 +482,17 @@
 
 	for (struct live_target *target = roster_first(roster, choice->service);
 	     target; target = target->next) {
-		enum target_use use =
-			use_for(roster, target, choice->goal_us, choice->now);
+		enum target_use use = use_for(roster, target, choice->usual_us,
+					      choice->goal_us, choice->now);
 		int64_t expected;
 
 		if (is_avoided(choice, target->key))
 			continue;
-		if (use == USE_BUSY &&
-		    expect_busy(target, choice->now) < least_busy)
-			least_busy = expect_busy(target, choice->now);
+		if (use == USE_BUSY && expect_busy(target, choice) < least_busy)
+			least_busy = expect_busy(target, choice);
 		if (use != USE_OK)
 			continue;
-		expected = roster_expect(target, choice->now);
+		expected = roster_expect(target, choice->usual_us, choice->now);
 		if (!best || expected < least) {
 			best = target;
 			least = expected;
@@ -508,13 +514,9 @@
 	return false;
 }
 
-bool roster_near_first(struct roster *roster, uint64_t service, int64_t goal_us,
-		       int64_t now)
+bool roster_near_first(struct roster *roster, const struct choice *choice)
 {
-	struct choice choice = { .service = service,
-				 .goal_us = goal_us,
-				 .now = now };
-	const struct live_target *target = roster_choose(roster, &choice);
+	const struct live_target *target = roster_choose(roster, choice);
 
 	return target && target->near;
 }
@@ -561,11 +563,14 @@
 
 /* What is seen of a target. */
 
-void roster_sent(struct roster *roster, struct live_target *target, int64_t now)
+void roster_sent(struct roster *roster, struct live_target *target,
+		 double usual_us, int64_t now)
 {
 	(void)roster;
-	if (!target->open++)
+	if (!target->open++) {
 		target->asked_at = now;
+		target->asked_us = roster_reply_us(target, usual_us);
+	}
 	if (!target->unanswered++)
 		target->silent_since = now;
 	target->probe_at = now + PROBE_US;
@@ -578,26 +583,27 @@
 	}
 }
 
-static void count_slow_try(struct live_target *target, int64_t us, int64_t now)
+static void count_slow_try(struct live_target *target, double times,
+			   int64_t now)
 {
-	double known = remembered_us(target, now);
+	double known = remembered(target, now);
 
-	if ((double)us * QUICK_TIMES < known) {
+	if (times * QUICK_TIMES < known) {
 		target->slow_tries = 0;
 		return;
 	}
-	if ((double)us > known * SLOW_TIMES &&
-	    now - target->service_at > SLOW_TRY_GAP_US &&
+	if (times > known * SLOW_TIMES &&
+	    now - target->slowness_at > SLOW_TRY_GAP_US &&
 	    target->slow_tries < SLOW_TRIES_MAX)
 		target->slow_tries++;
 }
 
-static void smooth(struct live_target *target, int64_t us, int64_t now)
+static void smooth(struct live_target *target, double times, int64_t now)
 {
-	double known = remembered_us(target, now);
+	double known = remembered(target, now);
 
-	target->service_us = known + SMOOTHING * ((double)us - known);
-	target->service_at = now;
+	target->slowness = known + SMOOTHING * (times - known);
+	target->slowness_at = now;
 }
 
 static int64_t rest_us(const struct live_target *target)
@@ -610,8 +616,11 @@
 }
 
 void roster_answered(struct roster *roster, struct live_target *target,
-		     enum target_reply what, int64_t sent_at, int64_t now)
+		     enum target_reply what, double usual_us, int64_t sent_at,
+		     int64_t now)
 {
+	double times = (double)(now - sent_at) / usual_us;
+
 	target->open--;
 	/* The others were sent at this one's time or later. */
 	target->asked_at = target->open ? now : 0;
@@ -622,8 +631,8 @@
 		count_fault(target, false, now);
 		target->failures = 0;
 		target->answered_at = now;
-		count_slow_try(target, now - sent_at, now);
-		smooth(target, now - sent_at, now);
+		count_slow_try(target, times, now);
+		smooth(target, times, now);
 		break;
 	case REPLY_FULL:
 		count_fault(target, true, now);
@@ -644,8 +653,8 @@
 		break;
 	case REPLY_DROPPED:
 		/* At least this long: a slow target must not look quick. */
-		if (now - sent_at > (int64_t)target->service_us)
-			smooth(target, now - sent_at, now);
+		if (times > target->slowness)
+			smooth(target, times, now);
 		break;
 	}
 	if (!target->open && !target->service) {
--- a/roster.h
+++ b/roster.h
@@ -39,10 +39,12 @@
  * @faults: smoothed share of requests that it did not serve, at @faults_at
  * @open: requests of this node that it has not answered
  * @asked_at: when the oldest of them was sent; 0 when there is none
+ * @asked_us: what its reply was expected to take
  * @answered_at: when it last answered
  * @silent_since: first request since then, 0 for none; @unanswered: how many
  * @probe_at: when a silent one is next tried
- * @service_us: smoothed time from sending to the reply, at @service_at
+ * @slowness: smoothed time from sending to the reply, as a multiple of what is
+ *            usual for the kind of request, at @slowness_at
  * @slow_tries: times that it was tried again and was as slow as before
  * @cold_second, @cold_sent: requests sent in the present second while cold
  */
@@ -67,12 +69,13 @@
 	int64_t faults_at;
 	int open;
 	int64_t asked_at;
+	double asked_us;
 	int64_t answered_at;
 	int64_t silent_since;
 	int unanswered;
 	int64_t probe_at;
-	double service_us;
-	int64_t service_at;
+	double slowness;
+	int64_t slowness_at;
 	int slow_tries;
 	int64_t cold_second;
 	int cold_sent;
@@ -82,12 +85,14 @@
 /**
  * struct choice - a request for a target
  * @avoid, @navoid: targets that have had the request already
+ * @usual_us: what a reply to this kind of request usually takes
  * @goal_us: the reply is of little use after this time, 0: any time
  */
 struct choice {
 	uint64_t service;
 	const uint64_t *avoid;
 	size_t navoid;
+	double usual_us;
 	int64_t goal_us;
 	int64_t now;
 };
@@ -133,14 +138,16 @@
 struct live_target *roster_choose(struct roster *roster,
 				  const struct choice *choice);
 /** roster_expect() - microseconds until a reply, were it asked now. */
-int64_t roster_expect(const struct live_target *target, int64_t now);
+int64_t roster_expect(const struct live_target *target, double usual_us,
+		      int64_t now);
+/** roster_reply_us() - of a target that nothing else keeps busy. */
+double roster_reply_us(const struct live_target *target, double usual_us);
 enum target_use roster_use(const struct roster *roster,
 			   const struct live_target *target, int64_t now);
 /** roster_any() - some target of @service may be asked, if not at once. */
 bool roster_any(const struct roster *roster, uint64_t service, int64_t now);
 /** roster_near_first() - the best target now is in this failure domain. */
-bool roster_near_first(struct roster *roster, uint64_t service, int64_t goal_us,
-		       int64_t now);
+bool roster_near_first(struct roster *roster, const struct choice *choice);
 /** roster_holds() - a target in @domain may be asked now. */
 bool roster_holds(const struct roster *roster, uint64_t service,
 		  uint64_t domain, int64_t now);
@@ -152,7 +159,7 @@
 
 /** roster_sent(), roster_answered() - a request went out, and came back. */
 void roster_sent(struct roster *roster, struct live_target *target,
-		 int64_t now);
+		 double usual_us, int64_t now);
 
 /** enum target_reply - what a reply says of its target */
 enum target_reply {
@@ -165,4 +172,5 @@
 };
 
 void roster_answered(struct roster *roster, struct live_target *target,
-		     enum target_reply what, int64_t sent_at, int64_t now);
+		     enum target_reply what, double usual_us, int64_t sent_at,
+		     int64_t now);
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -17,6 +17,8 @@
 
 enum {
 	SECOND_US = 1000000,
+	/* What a reply of a target in these cases usually takes. */
+	USUAL_US = 10000,
 };
 
 static apr_pool_t *pool;
@@ -273,8 +275,8 @@
 	struct live_target *a = find(roster, "a");
 
 	for (int i = 0; i < 5; i++) {
-		roster_sent(roster, a, now - us);
-		roster_answered(roster, a, what, now - us, now);
+		roster_sent(roster, a, USUAL_US, now - us);
+		roster_answered(roster, a, what, USUAL_US, now - us, now);
 	}
 }
 
@@ -284,11 +286,11 @@
 
 	leaving.leaving = true;
 	if (facts & BUSY_A) {
-		roster_sent(roster, find(roster, "a"), now);
-		roster_sent(roster, find(roster, "a"), now);
+		roster_sent(roster, find(roster, "a"), USUAL_US, now);
+		roster_sent(roster, find(roster, "a"), USUAL_US, now);
 	}
 	if (facts & STUCK_A)
-		roster_sent(roster, find(roster, "a"), now - 50000);
+		roster_sent(roster, find(roster, "a"), USUAL_US, now - 50000);
 	if (facts & SLOW_A)
 		reply(roster, REPLY_GOOD, 200000, now);
 	if (facts & SLOW_LONG_AGO_A)
@@ -315,7 +317,9 @@
 	struct target_entry b = entry("b", c->facts & FAR_B ? "there" : "here");
 	int64_t now = 100 * (int64_t)SECOND_US;
 	uint64_t tried[2];
-	struct choice choice = { .service = 5, .avoid = tried, .now = now };
+	struct choice choice = {
+		.service = 5, .avoid = tried, .usual_us = USUAL_US, .now = now
+	};
 	struct live_target *got;
 
 	roster_put(roster, &a, now - 20 * SECOND_US);
@@ -373,22 +377,80 @@
 	target = find(roster, "a");
 	for (int i = 0; i < 3; i++) {
 		ck_assert_int_eq(roster_use(roster, target, now), USE_OK);
-		roster_sent(roster, target, now);
+		roster_sent(roster, target, USUAL_US, now);
 		now += 150000;
-		roster_answered(roster, target, REPLY_DROPPED, now - 150000,
-				now);
+		roster_answered(roster, target, REPLY_DROPPED, USUAL_US,
+				now - 150000, now);
 	}
 	ck_assert_int_eq(roster_use(roster, target, now), USE_SILENT);
 	now += 200000;
 	ck_assert_int_eq(roster_use(roster, target, now), USE_OK);
-	roster_sent(roster, target, now);
+	roster_sent(roster, target, USUAL_US, now);
 	ck_assert_int_eq(roster_use(roster, target, now), USE_SILENT);
-	roster_answered(roster, target, REPLY_GOOD, now, now + 9000);
+	roster_answered(roster, target, REPLY_GOOD, USUAL_US, now, now + 9000);
 	ck_assert_int_eq(roster_use(roster, target, now + 9000), USE_OK);
 	roster_destroy(roster);
 }
 END_TEST
 
+/*
+ * Two kinds of requests, one three times the work of the other. A target that
+ * is slow is as slow for both: a caller of the short kind must not have its
+ * request taken for late, or kept from a target, by times of the long kind.
+ */
+START_TEST(test_two_kinds)
+{
+	struct roster *roster = roster_create(pool, STR("here"));
+	struct target_entry a = entry("a", "here");
+	int64_t now = 100 * (int64_t)SECOND_US;
+	struct live_target *target;
+
+	roster_put(roster, &a, now);
+	target = find(roster, "a");
+	for (int i = 0; i < 30; i++) {
+		roster_sent(roster, target, 3 * USUAL_US, now);
+		now += 6 * USUAL_US;
+		roster_answered(roster, target, REPLY_GOOD, 3 * USUAL_US,
+				now - 6 * USUAL_US, now);
+	}
+	ck_assert_double_eq_tol(roster_reply_us(target, 3 * USUAL_US),
+				6 * USUAL_US, USUAL_US / 10.0);
+	ck_assert_double_eq_tol(roster_reply_us(target, USUAL_US), 2 * USUAL_US,
+				USUAL_US / 10.0);
+	roster_destroy(roster);
+}
+END_TEST
+
+/** struct usual_case - replies by turns, and what is usual after them */
+struct usual_case {
+	int64_t replies[10];
+	double least;
+	double most;
+};
+
+static const struct usual_case usual_cases[] = {
+	{ { 20000 }, 18000, 22000 },
+	/* One of ten is stuck in a pause: a mean would be 34,000. */
+	{ { 10000, 11000, 9000, 10000, 250000, 10000, 9500, 10500, 11000,
+	    9000 },
+	  8000,
+	  12500 },
+};
+
+/* The first reply counts in full; afterwards long ones do not move it much. */
+START_TEST(test_usual)
+{
+	const struct usual_case *c = &usual_cases[_i];
+	struct usual usual = { .us = 500 };
+
+	for (int i = 0; i < 100; i++)
+		if (c->replies[i % 10])
+			usual_add(&usual, c->replies[i % 10]);
+	ck_assert_double_ge(usual.us, c->least);
+	ck_assert_double_le(usual.us, c->most);
+}
+END_TEST
+
 /*
  * Another target answers at its address. Its entry is written once more, by
  * whoever; it gets nothing all the same, until it starts on another address.
@@ -425,11 +487,11 @@
 
 	roster_put(roster, &a, now);
 	target = find(roster, "a");
-	roster_sent(roster, target, now);
+	roster_sent(roster, target, USUAL_US, now);
 	roster_drop(roster, STR("a"), now);
 	roster_sweep(roster, now + 40 * (int64_t)SECOND_US);
 	ck_assert_uint_eq(roster_count(roster), 1);
-	roster_answered(roster, target, REPLY_GOOD, now, now + 1000);
+	roster_answered(roster, target, REPLY_GOOD, USUAL_US, now, now + 1000);
 	roster_sweep(roster, now + SECOND_US);
 	ck_assert_uint_eq(roster_count(roster), 1);
 	roster_sweep(roster, now + 40 * (int64_t)SECOND_US);
@@ -455,7 +517,7 @@
 	target = find(roster, "a");
 	for (int i = 0; i < 2; i++) {
 		ck_assert_int_eq(roster_use(roster, target, now), USE_OK);
-		roster_sent(roster, target, now);
+		roster_sent(roster, target, USUAL_US, now);
 	}
 	ck_assert_int_eq(roster_use(roster, target, now), USE_COLD);
 	ck_assert_int_eq(roster_use(roster, target, now + SECOND_US), USE_OK);
@@ -598,6 +660,9 @@
 	tcase_add_loop_test(tcase, test_choice, 0, COUNT(choice_cases));
 	tcase_add_test(tcase, test_target_starts_again);
 	tcase_add_test(tcase, test_silent_target);
+	tcase_add_test(tcase, test_two_kinds);
+	tcase_add_loop_test(tcase, test_usual, 0,
+			    sizeof(usual_cases) / sizeof(*usual_cases));
 	tcase_add_test(tcase, test_address_of_another);
 	tcase_add_test(tcase, test_gone_target_is_forgotten);
 	tcase_add_test(tcase, test_cold_target);
