--- a/call.c
+++ b/call.c
@@ -27,6 +27,7 @@
 	calls->open = hash_make(pool);
 	calls->attempts = hash_make(pool);
 	calls->usual = hash_make(pool);
+	calls->lines = hash_make(pool);
 }
 
 static void free_all(apr_hash_t *hash)
@@ -54,6 +55,7 @@
 	calls_reap(calls);
 	free_all(calls->attempts);
 	free_all(calls->usual);
+	lines_free(calls->lines);
 	timers_free(&calls->timers);
 }
 
@@ -310,11 +312,80 @@
 enum send_result call_send(struct calls *calls, struct call *call, size_t part)
 {
 	enum send_result result = try_send(calls, call, part);
+	struct part *p = &call->parts[part];
 
-	call->parts[part].held_by = result;
+	p->held_by = result;
+	if (result == SEND_NO_TARGET && call->kind->in_line && !p->open &&
+	    !p->waits) {
+		p->waits = true;
+		line_add(calls->lines, p->service,
+			 (struct waiter){ call->id, part });
+	}
 	return result;
 }
 
+static struct claim claim_of(const struct calls *calls, const struct call *call)
+{
+	return (struct claim){
+		.in_time =
+			calls->now + (int64_t)call->usual->us <= call->soft_at,
+		.soft_at = call->soft_at,
+		.start = call->start,
+	};
+}
+
+/* Return: the part still waits; one that does not is taken out of the line. */
+static bool still_waits(struct line *line, size_t index, struct call *call)
+{
+	struct part *part = NULL;
+
+	if (call)
+		part = &call->parts[line->list[index].part];
+	if (part && !part->done && !part->open && !part->batched)
+		return true;
+	if (part)
+		part->waits = false;
+	line_drop(line, index);
+	return false;
+}
+
+/* Return: place of the one to be served first, or SIZE_MAX. */
+static size_t first_in_line(struct calls *calls, struct line *line)
+{
+	struct claim best_claim;
+	size_t best = SIZE_MAX;
+
+	for (size_t i = 0; i < line->count;) {
+		struct call *call = call_find(calls, line->list[i].call);
+		struct claim claim;
+
+		if (!still_waits(line, i, call))
+			continue;
+		claim = claim_of(calls, call);
+		if (best == SIZE_MAX || line_before(&claim, &best_claim)) {
+			best = i;
+			best_claim = claim;
+		}
+		i++;
+	}
+	return best;
+}
+
+/* A target of @service has room again: those that wait for it have it. */
+static void serve_line(struct calls *calls, uint64_t service)
+{
+	struct line *line = line_find(calls->lines, service);
+	size_t first;
+
+	while (line && (first = first_in_line(calls, line)) != SIZE_MAX) {
+		struct waiter waiter = line->list[first];
+		struct call *call = call_find(calls, waiter.call);
+
+		if (call_send(calls, call, waiter.part) != SEND_DONE)
+			return;
+	}
+}
+
 static void mark_rejected(struct part *part, uint64_t key)
 {
 	size_t at = find_tried(part, key);
@@ -342,16 +413,14 @@
 	return reply->status / 100 == 2 ? REPLY_GOOD : REPLY_FAILED;
 }
 
-void call_replied(struct calls *calls, uint64_t id,
-		  const struct flow_reply *reply)
+static void take_reply(struct calls *calls, uint64_t id,
+		       const struct flow_reply *reply)
 {
 	struct attempt *attempt =
 		apr_hash_get(calls->attempts, &id, sizeof(id));
 	struct attempt copy;
 	struct call *call;
 
-	if (!attempt)
-		return;
 	call = attempt->call;
 	if (call) {
 		attempt_unlink(attempt);
@@ -383,6 +452,20 @@
 		orphan_part(calls, call, copy.part);
 }
 
+void call_replied(struct calls *calls, uint64_t id,
+		  const struct flow_reply *reply)
+{
+	const struct attempt *attempt =
+		apr_hash_get(calls->attempts, &id, sizeof(id));
+	uint64_t service;
+
+	if (!attempt)
+		return;
+	service = attempt->target->service;
+	take_reply(calls, id, reply);
+	serve_line(calls, service);
+}
+
 void call_due(struct calls *calls, const struct timer *due)
 {
 	struct attempt *attempt;
@@ -391,8 +474,12 @@
 	if (due->kind == TIMER_JOB) {
 		attempt = apr_hash_get(calls->attempts, &due->id,
 				       sizeof(due->id));
-		if (attempt && !attempt->call)
+		if (attempt && !attempt->call) {
+			uint64_t service = attempt->target->service;
+
 			attempt_cut(calls, attempt);
+			serve_line(calls, service);
+		}
 		return;
 	}
 	call = call_find(calls, due->id);
--- a/call.h
+++ b/call.h
@@ -3,6 +3,7 @@
 #include "budget.h"
 #include "flow.h"
 #include "latency.h"
+#include "line.h"
 #include "rng.h"
 #include "roster.h"
 #include "timer.h"
@@ -44,10 +45,12 @@
  * @begin: first sends
  * @replied: a reply to one of its attempts, which is no longer among them
  * @review: its time has come; sets call->review_at anew
+ * @in_line: its parts wait in line for room at a target
  * @ended: nothing more is wanted of other nodes; may be NULL
  */
 struct call_kind {
 	const char *name;
+	bool in_line;
 	void (*begin)(struct calls *calls, struct call *call);
 	void (*replied)(struct calls *calls, struct call *call,
 			const struct attempt *attempt,
@@ -84,6 +87,7 @@
  * @ran: some target may have run it
  * @batched: another node was asked for it and has not answered
  * @again: another node may have sent it already
+ * @waits: it stands in line for room at a target
  * @held_by: why the last try at sending it was not made
  */
 struct part {
@@ -97,6 +101,7 @@
 	bool ran;
 	bool batched;
 	bool again;
+	bool waits;
 	enum send_result held_by;
 };
 
@@ -158,6 +163,7 @@
  * @open: id -> struct call
  * @attempts: id -> struct attempt
  * @usual: hash of a route's name -> struct usual
+ * @lines: service -> struct line
  * @dead: ended; freed by calls_reap()
  * @shards_kind: of calls that other nodes ask this one for
  */
@@ -172,6 +178,7 @@
 	apr_hash_t *open;
 	apr_hash_t *attempts;
 	apr_hash_t *usual;
+	apr_hash_t *lines;
 	uint64_t next_id;
 	struct call *dead;
 	size_t nopen;
--- a/merge.c
+++ b/merge.c
@@ -592,6 +592,7 @@
 
 const struct call_kind merge_kind = {
 	.name = "merge",
+	.in_line = true,
 	.begin = begin,
 	.replied = replied,
 	.review = review,
--- a/tests/check_load.c
+++ b/tests/check_load.c
@@ -125,6 +125,8 @@
 	{ "slow in a burst", 190, slow_in_burst, 0.98, 0, 1, false },
 	{ "short of room", 60, short_of_room, 0, 43, 4, false },
 	{ "dark domain", 185, dark_domain, 0.99, 0, 2, false },
+	/* 200 a second are all that some shards bear. */
+	{ "dark domain, no room", 215, dark_domain, 0.7, 15, 5, false },
 	{ "replies lost", 10, lose_all, 0.65, 30, 60, true },
 	{ "shedding across", 120, shed_across, 0.99, 0, 1.5, false },
 	{ "shedding across, pauses", 120, shed_and_pause, 0.945, 0.5, 5,
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -10,6 +10,7 @@
 #include "../budget.h"
 #include "../directory.h"
 #include "../head.h"
+#include "../line.h"
 #include "../platform/platform.h"
 #include "../records.h"
 #include "../roster.h"
@@ -451,6 +452,36 @@
 }
 END_TEST
 
+/** struct turn_case - two that wait for the same place */
+struct turn_case {
+	struct claim a;
+	struct claim b;
+	bool a_first;
+};
+
+static const struct turn_case turn_cases[] = {
+	/* Both in time: less time left goes first. */
+	{ { true, 100, 0 }, { true, 90, 10 }, false },
+	{ { true, 90, 10 }, { true, 100, 0 }, true },
+	/* Too late already: after one that is not, however long it waits. */
+	{ { false, 50, 0 }, { true, 200, 100 }, false },
+	/* Both too late: the one that came last. */
+	{ { false, 50, 0 }, { false, 60, 10 }, false },
+	{ { false, 60, 10 }, { false, 50, 0 }, true },
+};
+
+/*
+ * More questions come than some shards bear. Were the one that waits longest
+ * always next, each would be served just too late, and no caller in time.
+ */
+START_TEST(test_turn)
+{
+	const struct turn_case *c = &turn_cases[_i];
+
+	ck_assert_int_eq(line_before(&c->a, &c->b), c->a_first);
+}
+END_TEST
+
 /*
  * Another target answers at its address. Its entry is written once more, by
  * whoever; it gets nothing all the same, until it starts on another address.
@@ -661,6 +692,8 @@
 	tcase_add_test(tcase, test_target_starts_again);
 	tcase_add_test(tcase, test_silent_target);
 	tcase_add_test(tcase, test_two_kinds);
+	tcase_add_loop_test(tcase, test_turn, 0,
+			    sizeof(turn_cases) / sizeof(*turn_cases));
 	tcase_add_loop_test(tcase, test_usual, 0,
 			    sizeof(usual_cases) / sizeof(*usual_cases));
 	tcase_add_test(tcase, test_address_of_another);
