Mechanisms of the tier can be switched off by name

Ruled out: build options (the program measured must be the one that runs). Before: none; after: 21 mechanisms. All on is the program of before.

--- a/call.c
+++ b/call.c
@@ -21,6 +21,11 @@
 	GUESS_GOAL_PART = 8,
 };
 
+bool call_has(const struct calls *calls, enum mechanism mechanism)
+{
+	return mechanism_on(calls->without, mechanism);
+}
+
 void calls_init(struct calls *calls, apr_pool_t *pool, uint64_t seed)
 {
 	*calls = (struct calls){ .pool = pool, .rng.seed = seed };
@@ -221,7 +226,7 @@
 	fx->addr = str_dup(calls->fx->pool, target->addr);
 	fx->expected = str_dup(calls->fx->pool, target->id);
 	fx->request = &call->request;
-	fx->brief = !target->near;
+	fx->brief = !target->near && call_has(calls, MECHANISM_BRIEF_CONNS);
 	fx->time_left_us = call->give_up_at - calls->now;
 	fx->timeout_us = fx->time_left_us + REPLY_SLACK_US;
 }
@@ -279,7 +284,8 @@
 
 	if (has_fresh_tries(call, part))
 		target = roster_choose(calls->roster, &choice);
-	if (!target && part->rejected)
+	if (!target && part->rejected &&
+	    call_has(calls, MECHANISM_RETRY_REJECTED))
 		target = choose_again(calls, call, part);
 	return target;
 }
@@ -316,7 +322,7 @@
 
 	p->held_by = result;
 	if (result == SEND_NO_TARGET && call->kind->in_line && !p->open &&
-	    !p->waits) {
+	    !p->waits && call_has(calls, MECHANISM_LINE)) {
 		p->waits = true;
 		line_add(calls->lines, p->service,
 			 (struct waiter){ call->id, part });
@@ -537,6 +543,8 @@
 {
 	uint64_t most = (uint64_t)us / SPREAD_PART + 1;
 
+	if (!call_has(calls, MECHANISM_RETURN_SPREAD))
+		return us;
 	return us - (int64_t)rng_below(&calls->rng, most);
 }
 
--- a/call.h
+++ b/call.h
@@ -158,6 +158,7 @@
 
 /**
  * struct calls - all calls of a node, and what they need
+ * @without: mechanisms that are off
  * @now: of the event at hand
  * @fx: effects of the event at hand
  * @open: id -> struct call
@@ -169,6 +170,7 @@
  */
 struct calls {
 	apr_pool_t *pool;
+	uint32_t without;
 	int64_t now;
 	struct flow_effects *fx;
 	struct roster *roster;
@@ -187,6 +189,8 @@
 	const struct call_kind *shards_kind;
 };
 
+/** call_has() - the mechanism is on. */
+bool call_has(const struct calls *calls, enum mechanism mechanism);
 void calls_init(struct calls *calls, apr_pool_t *pool, uint64_t seed);
 void calls_destroy(struct calls *calls);
 /** calls_reap() - free what ended; no effect may point there any more. */
--- a/command.c
+++ b/command.c
@@ -13,6 +13,7 @@
 #include "edge.h"
 #include "explain.h"
 #include "log.h"
+#include "mechanism.h"
 #include "platform/platform.h"
 #include "serve.h"
 
@@ -109,23 +110,54 @@
 
 /* tier */
 
+static int list_mechanisms(void)
+{
+	for (int i = 0; i < MECHANISMS; i++)
+		printf("%-16s %s\n", mechanism_info(i)->name,
+		       mechanism_info(i)->what);
+	return EXIT_OK;
+}
+
+static int take_without(const struct arg_str *names, uint32_t *without)
+{
+	struct error err = { 0 };
+
+	for (int i = 0; i < names->count; i++) {
+		if (!mechanism_off(str_of(names->sval[i]), without, &err))
+			continue;
+		print_error(&err);
+		return EXIT_USAGE;
+	}
+	return EXIT_OK;
+}
+
 static int run_tier(int argc, char **argv)
 {
 	struct arg_int *metrics = arg_int0("m", "metrics-port", "PORT",
 					   "serve counters on this port");
 	struct arg_str *level = arg_str0("l", "log-level", "LEVEL",
 					 "error, warn, info or debug");
-	void *table[] = { help_arg(), metrics, level, arg_end(MAX_ERRORS) };
-	int code = parse_args(argc, argv, table,
-			      "Serve the targets that a platform publishes.");
-
+	struct arg_str *names =
+		arg_strn(NULL, "without", "NAME", 0, MECHANISMS,
+			 "switch a mechanism off, to measure it");
+	struct arg_lit *list = arg_lit0(NULL, "list-mechanisms",
+					"name those that can be switched off");
+	void *table[] = { help_arg(), metrics, level,
+			  names,      list,    arg_end(MAX_ERRORS) };
+	struct edge_options opt = { .dialect = &platform_dialect };
+	int code =
+		parse_args(argc, argv, table,
+			   "Serve the targets that a platform publishes. The "
+			   "path of the settings stands in the environment "
+			   "variable that the platform names.");
+
+	if (code < 0 && list->count)
+		code = list_mechanisms();
+	else if (code < 0 && take_without(names, &opt.without))
+		code = EXIT_USAGE;
 	if (code < 0) {
-		struct edge_options opt = {
-			.dialect = &platform_dialect,
-			.metrics_port =
-				metrics->count ? (uint16_t)metrics->ival[0] : 0,
-		};
-
+		opt.metrics_port =
+			metrics->count ? (uint16_t)metrics->ival[0] : 0;
 		log_init(str_of(level->count ? level->sval[0] : "info"));
 		code = edge_run(&opt);
 		log_deinit();
--- a/edge.c
+++ b/edge.c
@@ -516,7 +516,8 @@
 	struct tier_options tier = { .dialect = edge->dialect,
 				     .settings = &edge->settings,
 				     .incarnation = os_random() >> 1 | 1,
-				     .seed = os_random() };
+				     .seed = os_random(),
+				     .without = opt->without };
 	int code = load_settings(edge, &edge->settings, err);
 
 	if (code)
--- a/edge.h
+++ b/edge.h
@@ -8,10 +8,15 @@
  * The shell of the tier's reducer: sockets, signals, settings and the log.
  */
 
-/** struct edge_options - how to run; @metrics_port: 0 for none */
+/**
+ * struct edge_options - how to run
+ * @metrics_port: 0 for none
+ * @without: set of mechanisms that are off
+ */
 struct edge_options {
 	const struct dialect *dialect;
 	uint16_t metrics_port;
+	uint32_t without;
 };
 
 /** edge_run() - serve until the planned stop; returns the exit code. */
--- a/forward.c
+++ b/forward.c
@@ -113,7 +113,8 @@
 		try_again(calls, call, why_held(call));
 		if (!call->attempts)
 			return;
-	} else if (call->route->repeatable && call->parts[0].open == 1) {
+	} else if (call->route->repeatable && call->parts[0].open == 1 &&
+		   call_has(calls, MECHANISM_HEDGES)) {
 		call_send(calls, call, 0);
 	}
 	call_review_at(calls, call, call->give_up_at);
--- /dev/null
+++ b/mechanism.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "error.h"
+#include "str.h"
+
+/**
+ * DOC: mechanisms of the tier, by name
+ *
+ * Each can be switched off at the start of a node: to measure what it is worth
+ * on a deployment, and for tests that must fail without it.
+ */
+
+enum mechanism {
+	MECHANISM_HEDGES,
+	MECHANISM_SOFT_DEADLINE,
+	MECHANISM_BATCHES,
+	MECHANISM_MERGING_NODES,
+	MECHANISM_BUSY_WAIT,
+	MECHANISM_FAR_COST,
+	MECHANISM_FAULT_COST,
+	MECHANISM_OVERDUE_COST,
+	MECHANISM_SLOWNESS,
+	MECHANISM_SILENT_TARGETS,
+	MECHANISM_TARGET_REST,
+	MECHANISM_RETRY_REJECTED,
+	MECHANISM_LATE_ANSWERS,
+	MECHANISM_LINE,
+	MECHANISM_SLOW_BOUND,
+	MECHANISM_SHARED_CONNS,
+	MECHANISM_MERGER_BUDGET,
+	MECHANISM_RETURN_SPREAD,
+	MECHANISM_COLD_BOUND,
+	MECHANISM_QUICK_START,
+	MECHANISM_BRIEF_CONNS,
+	MECHANISMS,
+};
+
+/**
+ * struct mechanism_info - @name: as it is switched off; @what: it protects or
+ * buys
+ */
+struct mechanism_info {
+	const char *name;
+	const char *what;
+};
+
+const struct mechanism_info *mechanism_info(enum mechanism mechanism);
+/**
+ * mechanism_off() - add the one called @name to the set @without
+ *
+ * Return: 0, or ERR_USAGE when there is none of that name.
+ */
+int mechanism_off(struct str name, uint32_t *without, struct error *err);
+
+static inline bool mechanism_on(uint32_t without, enum mechanism mechanism)
+{
+	return !(without & 1U << mechanism);
+}
--- a/merge.c
+++ b/merge.c
@@ -141,15 +141,17 @@
  * better than none: giving up at the soft deadline instead had callers ask all
  * shards anew, and of 100 questions that were short of room 45 failed, not 40.
  */
-static size_t count_possible(const struct call *call)
+static size_t count_possible(const struct calls *calls, const struct call *call)
 {
+	bool waits = call_has(calls, MECHANISM_LATE_ANSWERS) ||
+		     calls->now < call->soft_at;
 	size_t possible = 0;
 
 	for (size_t i = 0; i < call->nparts; i++) {
 		const struct part *part = &call->parts[i];
 
 		if (part->done || part->open || part->batched ||
-		    call_may_send(call, part))
+		    (waits && call_may_send(call, part)))
 			possible++;
 	}
 	return possible;
@@ -159,7 +161,7 @@
 static bool settle_answer(struct calls *calls, struct call *call)
 {
 	bool late = calls->now >= call->soft_at;
-	size_t possible = count_possible(call);
+	size_t possible = count_possible(calls, call);
 
 	if (call->ndone == call->nparts) {
 		answer(calls, call, "complete");
@@ -203,7 +205,7 @@
 {
 	const struct merge_state *state = call->state;
 	bool late = calls->now >= call->soft_at;
-	bool last = count_possible(call) == call->ndone ||
+	bool last = count_possible(calls, call) == call->ndone ||
 		    calls->now >= call->give_up_at;
 
 	if (last || (late && state->nfresh) ||
@@ -277,6 +279,8 @@
 		if (!part->done && !part->open && !part->batched)
 			send_again(calls, call, i);
 	}
+	if (!call_has(calls, MECHANISM_HEDGES))
+		return;
 	/* call_send() puts new attempts in front of those that are walked. */
 	for (struct attempt *at = call->attempts; at; at = at->next)
 		if (call->parts[at->part].open == 1 &&
@@ -367,7 +371,9 @@
 	uint16_t *parts =
 		apr_palloc(call->pool, (call->nparts + 1) * sizeof(*parts));
 
-	for (int i = 0; i < SPREAD_DOMAINS_MAX; i++) {
+	for (int i = 0;
+	     i < SPREAD_DOMAINS_MAX && call_has(calls, MECHANISM_BATCHES);
+	     i++) {
 		uint64_t domain = best_domain(calls, call, parts);
 		struct member_info *member;
 		size_t count;
@@ -444,7 +450,9 @@
 	records_init(&state->records, route->top, call->pool);
 	state->fresh = apr_palloc(call->pool,
 				  (route->nshards + 1) * sizeof(*state->fresh));
-	call->soft_at = merge_soft_at(call);
+	call->soft_at = call_has(calls, MECHANISM_SOFT_DEADLINE)
+				? merge_soft_at(call)
+				: call->give_up_at;
 	call->retry_share = spread_share(calls->batches->spread, call->catalog,
 					 route, calls->now);
 	call->nparts = call->wanted ? call->nwanted : route->nshards;
--- a/roster.c
+++ b/roster.c
@@ -89,8 +89,10 @@
 	struct conn_bound conns;
 };
 
+/** struct roster - @without: mechanisms that are off */
 struct roster {
 	apr_pool_t *pool;
+	uint32_t without;
 	struct str domain;
 	apr_hash_t *targets; /* key -> struct live_target */
 	apr_hash_t *groups; /* service -> struct group */
@@ -99,7 +101,8 @@
 	size_t count;
 };
 
-struct roster *roster_create(apr_pool_t *parent, struct str domain)
+struct roster *roster_create(apr_pool_t *parent, struct str domain,
+			     uint32_t without)
 {
 	apr_pool_t *pool;
 	struct roster *roster;
@@ -108,6 +111,7 @@
 	roster = apr_pcalloc(pool, sizeof(*roster));
 	roster->pool = pool;
 	roster->domain = str_dup(pool, domain);
+	roster->without = without;
 	roster->targets = hash_make(pool);
 	roster->groups = hash_make(pool);
 	roster->out = hash_make(pool);
@@ -122,6 +126,11 @@
 	str_free(target->domain);
 }
 
+static bool has(const struct roster *roster, enum mechanism mechanism)
+{
+	return mechanism_on(roster->without, mechanism);
+}
+
 void roster_destroy(struct roster *roster)
 {
 	apr_hash_index_t *it;
@@ -318,8 +327,9 @@
  * each later one later still: so few are sent there that a reply comes within
  * half of the goal, one at least.
  */
-static bool is_busy(const struct group *group, const struct live_target *target,
-		    double usual_us, int64_t goal_us)
+static bool is_busy(const struct roster *roster, const struct group *group,
+		    const struct live_target *target, double usual_us,
+		    int64_t goal_us)
 {
 	double us = roster_reply_us(target, usual_us);
 	int most;
@@ -331,7 +341,8 @@
 		return false;
 	if (target->slots && most > target->slots)
 		most = target->slots;
-	if (goal_us && us * 2 > (double)goal_us)
+	if (has(roster, MECHANISM_SLOW_BOUND) && goal_us &&
+	    us * 2 > (double)goal_us)
 		most = (int)(most * (double)goal_us / (us * 2));
 	return target->open >= (most > 1 ? most : 1);
 }
@@ -387,13 +398,15 @@
 	    (target->listed || now - target->left_at > LAPSE_US ||
 	     target->left_at - roster->store_lost_at > LAPSE_US))
 		return USE_LEAVING;
-	if (now < target->down_until)
+	if (now < target->down_until && has(roster, MECHANISM_TARGET_REST))
 		return USE_DOWN;
-	if (is_silent(target, now) && now < target->probe_at)
+	if (has(roster, MECHANISM_SILENT_TARGETS) && is_silent(target, now) &&
+	    now < target->probe_at)
 		return USE_SILENT;
-	if (cold_is_full(group, target, now))
+	if (has(roster, MECHANISM_COLD_BOUND) &&
+	    cold_is_full(group, target, now))
 		return USE_COLD;
-	if (is_busy(group, target, usual_us, goal_us))
+	if (is_busy(roster, group, target, usual_us, goal_us))
 		return USE_BUSY;
 	return USE_OK;
 }
@@ -424,22 +437,26 @@
 	return usual_us * target->slowness;
 }
 
-int64_t roster_expect(const struct live_target *target, double usual_us,
+int64_t roster_expect(const struct roster *roster,
+		      const struct live_target *target, double usual_us,
 		      int64_t now)
 {
-	double us = usual_us * remembered(target, now);
+	double us =
+		usual_us *
+		(has(roster, MECHANISM_SLOWNESS) ? remembered(target, now) : 1);
 	int slots = target->slots > 0 ? target->slots : 1;
 	double queued = (double)target->open / slots;
 	int64_t expected = (int64_t)(us * (1 + queued));
 
-	if (is_overdue(target, now))
+	if (has(roster, MECHANISM_OVERDUE_COST) && is_overdue(target, now))
 		expected += OVERDUE_WAIT_US;
 	if (now < target->cold_until)
 		expected += (int64_t)us;
-	expected += (int64_t)(FAULT_WAIT_US * fault_share(target, now));
-	if (now < target->wary_until)
+	if (has(roster, MECHANISM_FAULT_COST))
+		expected += (int64_t)(FAULT_WAIT_US * fault_share(target, now));
+	if (has(roster, MECHANISM_TARGET_REST) && now < target->wary_until)
 		expected += target->wary_until - now;
-	if (!target->near)
+	if (has(roster, MECHANISM_FAR_COST) && !target->near)
 		expected += FAR_WAIT_US;
 	return expected;
 }
@@ -466,10 +483,11 @@
  * as late; to wait is better. With one of a shard's two targets slow, of 100
  * first sends 0.3 are sent again instead of 1.6, and all answers are in time.
  */
-static int64_t expect_busy(const struct live_target *target,
+static int64_t expect_busy(const struct roster *roster,
+			   const struct live_target *target,
 			   const struct choice *choice)
 {
-	return roster_expect(target, choice->usual_us, choice->now) +
+	return roster_expect(roster, target, choice->usual_us, choice->now) +
 	       (int64_t)roster_reply_us(target, choice->usual_us);
 }
 
@@ -488,11 +506,13 @@
 
 		if (is_avoided(choice, target->key))
 			continue;
-		if (use == USE_BUSY && expect_busy(target, choice) < least_busy)
-			least_busy = expect_busy(target, choice);
+		if (use == USE_BUSY && has(roster, MECHANISM_BUSY_WAIT) &&
+		    expect_busy(roster, target, choice) < least_busy)
+			least_busy = expect_busy(roster, target, choice);
 		if (use != USE_OK)
 			continue;
-		expected = roster_expect(target, choice->usual_us, choice->now);
+		expected = roster_expect(roster, target, choice->usual_us,
+					 choice->now);
 		if (!best || expected < least) {
 			best = target;
 			least = expected;
--- a/roster.h
+++ b/roster.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dialect.h"
+#include "mechanism.h"
 
 /**
  * DOC: targets, and which of them a request goes to
@@ -97,7 +98,9 @@
 	int64_t now;
 };
 
-struct roster *roster_create(apr_pool_t *parent, struct str domain);
+/** roster_create() - @without: set of mechanisms that are off. */
+struct roster *roster_create(apr_pool_t *parent, struct str domain,
+			     uint32_t without);
 void roster_destroy(struct roster *roster);
 
 /** roster_put() - take an entry as it is in the store now. */
@@ -138,7 +141,8 @@
 struct live_target *roster_choose(struct roster *roster,
 				  const struct choice *choice);
 /** roster_expect() - microseconds until a reply, were it asked now. */
-int64_t roster_expect(const struct live_target *target, double usual_us,
+int64_t roster_expect(const struct roster *roster,
+		      const struct live_target *target, double usual_us,
 		      int64_t now);
 /** roster_reply_us() - of a target that nothing else keeps busy. */
 double roster_reply_us(const struct live_target *target, double usual_us);
--- a/spread.c
+++ b/spread.c
@@ -50,11 +50,12 @@
 };
 
 void spread_init(struct spread *spread, struct gossip *gossip,
-		 struct roster *roster, struct rng *rng)
+		 struct roster *roster, struct rng *rng, uint32_t without)
 {
 	*spread = (struct spread){ .gossip = gossip,
 				   .roster = roster,
-				   .rng = rng };
+				   .rng = rng,
+				   .without = without };
 }
 
 void spread_forget(struct spread *spread)
@@ -269,7 +270,8 @@
 	int near = plan->self;
 	struct conn_bound bound;
 
-	if (!service || !plan->self || !spread->met)
+	if (!service || !plan->self || !spread->met ||
+	    !mechanism_on(spread->without, MECHANISM_SHARED_CONNS))
 		return;
 	for (size_t i = 0; i < plan->count; i++)
 		near += plan->members[i]->near;
@@ -340,7 +342,8 @@
 bool spread_here(struct spread *spread, const struct catalog *catalog,
 		 const struct route *route, int64_t now)
 {
-	return get_plan(spread, catalog, route, now)->self;
+	return !mechanism_on(spread->without, MECHANISM_MERGING_NODES) ||
+	       get_plan(spread, catalog, route, now)->self;
 }
 
 double spread_share(struct spread *spread, const struct catalog *catalog,
@@ -349,7 +352,8 @@
 	const struct spread_plan *plan = get_plan(spread, catalog, route, now);
 	size_t nodes = (size_t)gossip_count(spread->gossip);
 
-	if (!plan->sharing || plan->sharing >= nodes)
+	if (!plan->sharing || plan->sharing >= nodes ||
+	    !mechanism_on(spread->without, MECHANISM_MERGER_BUDGET))
 		return 1.0 / (double)nodes;
 	if (plan->self)
 		return MERGERS_SHARE / (double)plan->sharing;
--- a/spread.h
+++ b/spread.h
@@ -37,17 +37,22 @@
 	size_t sharing;
 };
 
-/** struct spread - @met: other nodes have had time to be heard of */
+/**
+ * struct spread - who merges what
+ * @met: other nodes have had time to be heard of
+ * @without: mechanisms that are off
+ */
 struct spread {
 	struct gossip *gossip;
 	struct roster *roster;
 	struct rng *rng;
 	bool met;
+	uint32_t without;
 	struct spread_plan plans[SPREAD_ROUTES_MAX];
 };
 
 void spread_init(struct spread *spread, struct gossip *gossip,
-		 struct roster *roster, struct rng *rng);
+		 struct roster *roster, struct rng *rng, uint32_t without);
 /** spread_here() - this node merges questions of @route. */
 bool spread_here(struct spread *spread, const struct catalog *catalog,
 		 const struct route *route, int64_t now);
--- a/tests/check_load.c
+++ b/tests/check_load.c
@@ -6,9 +6,11 @@
  */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <check.h>
 
+#include "../mechanism.h"
 #include "stage.h"
 #include "suite.h"
 
@@ -147,10 +149,11 @@
 				       1000.0);
 }
 
-static struct stage *begin(bool small)
+static struct stage *begin(bool small, uint32_t without)
 {
 	struct stage *stage = stage_create(NODES, 11);
 
+	stage->without = without;
 	stage_add_targets(stage, "s", 2);
 	for (int i = 0; i < 2 * STAGE_SHARDS; i++) {
 		stage->targets[i].slots = 2;
@@ -178,10 +181,14 @@
 	}
 }
 
-/** struct result - what callers got, each a share of the questions */
+/**
+ * struct result - what callers got, each a share of the questions
+ * @extra: second sends, in a hundred first ones
+ */
 struct result {
 	double credit;
 	double failed;
+	double extra;
 };
 
 static struct result judge(const struct stage *stage, int from)
@@ -201,19 +208,13 @@
 	return result;
 }
 
-/*
- * Callers ask all the while. What goes wrong at the targets reaches them as a
- * late or partial answer; a node that knows of it asks the other target of the
- * shard first, and keeps second sends for what it could not know.
- */
-START_TEST(test_pattern)
+/* Plays @pattern without some mechanisms. */
+static struct result play(const struct pattern *pattern, uint32_t without)
 {
-	const struct pattern *pattern = &patterns[_i];
-	struct stage *stage = begin(pattern->small);
+	struct stage *stage = begin(pattern->small, without);
 	/* The log of one question, by its number. */
 	const char *traced = getenv("TRACE");
 	struct result result;
-	double extra;
 	int from;
 
 	if (traced)
@@ -224,18 +225,71 @@
 	load(stage, pattern, JUDGED_US);
 	stage_run(stage, 2 * SECOND_US);
 	result = judge(stage, from);
-	extra = 100.0 * stage->extra_sends / stage->first_sends;
+	result.extra = 100.0 * stage->extra_sends / stage->first_sends;
 	printf("%-24s credit %.3f, failed %.3f, second sends %.1f %%\n",
-	       pattern->name, result.credit, result.failed, extra);
-	tell_failed(stage, from);
+	       pattern->name, result.credit, result.failed, result.extra);
+	if (!without)
+		tell_failed(stage, from);
 	fflush(stdout);
+	stage_destroy(stage);
+	return result;
+}
+
+/*
+ * Callers ask all the while. What goes wrong at the targets reaches them as a
+ * late or partial answer; a node that knows of it asks the other target of the
+ * shard first, and keeps second sends for what it could not know.
+ */
+START_TEST(test_pattern)
+{
+	const struct pattern *pattern = &patterns[_i];
+	struct result result = play(pattern, 0);
+
 	ck_assert_msg(result.credit >= pattern->credit, "%s: credit %.3f",
 		      pattern->name, result.credit);
 	ck_assert_msg(100 * result.failed <= pattern->failed, "%s: failed %.3f",
 		      pattern->name, result.failed);
-	ck_assert_msg(extra <= pattern->extra, "%s: second sends %.1f %%",
-		      pattern->name, extra);
-	stage_destroy(stage);
+	ck_assert_msg(result.extra <= pattern->extra,
+		      "%s: second sends %.1f %%", pattern->name, result.extra);
+}
+END_TEST
+
+/** struct need - a pattern that is not borne without a mechanism */
+struct need {
+	const char *pattern;
+	enum mechanism mechanism;
+};
+
+static const struct need needs[] = {
+	{ "pauses in turn", MECHANISM_HEDGES },
+	{ "slow across", MECHANISM_SLOWNESS },
+	{ "dark domain, no room", MECHANISM_LINE },
+	{ "shedding across", MECHANISM_FAULT_COST },
+	{ "replies lost", MECHANISM_MERGER_BUDGET },
+};
+
+static const struct pattern *find_pattern(const char *name)
+{
+	size_t i = 0;
+
+	while (strcmp(patterns[i].name, name))
+		i++;
+	return &patterns[i];
+}
+
+/* The same loads with one mechanism off: callers are served worse than asked.
+ */
+START_TEST(test_needed)
+{
+	const struct need *need = &needs[_i];
+	const struct pattern *pattern = find_pattern(need->pattern);
+	struct result result = play(pattern, 1U << need->mechanism);
+
+	ck_assert_msg(result.credit < pattern->credit ||
+			      100 * result.failed > pattern->failed ||
+			      result.extra > pattern->extra,
+		      "%s is borne without %s", need->pattern,
+		      mechanism_info(need->mechanism)->name);
 }
 END_TEST
 
@@ -243,6 +297,8 @@
 {
 	tcase_add_loop_test(tcase, test_pattern, 0,
 			    sizeof(patterns) / sizeof(*patterns));
+	tcase_add_loop_test(tcase, test_needed, 0,
+			    sizeof(needs) / sizeof(*needs));
 }
 
 int main(void)
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -313,7 +313,7 @@
 START_TEST(test_choice)
 {
 	const struct choice_case *c = &choice_cases[_i];
-	struct roster *roster = roster_create(pool, STR("here"));
+	struct roster *roster = roster_create(pool, STR("here"), 0);
 	struct target_entry a = entry("a", "here");
 	struct target_entry b = entry("b", c->facts & FAR_B ? "there" : "here");
 	int64_t now = 100 * (int64_t)SECOND_US;
@@ -347,7 +347,7 @@
  */
 START_TEST(test_target_starts_again)
 {
-	struct roster *roster = roster_create(pool, STR("here"));
+	struct roster *roster = roster_create(pool, STR("here"), 0);
 	struct target_entry a = entry("a", "here");
 	int64_t now = 100 * (int64_t)SECOND_US;
 
@@ -369,7 +369,7 @@
  */
 START_TEST(test_silent_target)
 {
-	struct roster *roster = roster_create(pool, STR("here"));
+	struct roster *roster = roster_create(pool, STR("here"), 0);
 	struct target_entry a = entry("a", "here");
 	int64_t now = 100 * (int64_t)SECOND_US;
 	struct live_target *target;
@@ -401,7 +401,7 @@
  */
 START_TEST(test_two_kinds)
 {
-	struct roster *roster = roster_create(pool, STR("here"));
+	struct roster *roster = roster_create(pool, STR("here"), 0);
 	struct target_entry a = entry("a", "here");
 	int64_t now = 100 * (int64_t)SECOND_US;
 	struct live_target *target;
@@ -488,7 +488,7 @@
  */
 START_TEST(test_address_of_another)
 {
-	struct roster *roster = roster_create(pool, STR("here"));
+	struct roster *roster = roster_create(pool, STR("here"), 0);
 	struct target_entry a = entry("a", "here");
 	int64_t now = 100 * (int64_t)SECOND_US;
 
@@ -511,7 +511,7 @@
  */
 START_TEST(test_gone_target_is_forgotten)
 {
-	struct roster *roster = roster_create(pool, STR("here"));
+	struct roster *roster = roster_create(pool, STR("here"), 0);
 	struct target_entry a = entry("a", "here");
 	int64_t now = 100 * (int64_t)SECOND_US;
 	struct live_target *target;
@@ -537,7 +537,7 @@
  */
 START_TEST(test_cold_target)
 {
-	struct roster *roster = roster_create(pool, STR("here"));
+	struct roster *roster = roster_create(pool, STR("here"), 0);
 	struct target_entry a = entry("a", "here");
 	int64_t now = 100 * (int64_t)SECOND_US;
 	struct live_target *target;
--- a/tests/stage.c
+++ b/tests/stage.c
@@ -421,7 +421,8 @@
 	struct stage_node *n = &stage->nodes[node];
 	struct tier_options opt = { .settings = &n->settings,
 				    .dialect = &stage_dialect,
-				    .seed = rng_next(&stage->rng) };
+				    .seed = rng_next(&stage->rng),
+				    .without = stage->without };
 
 	n->incarnation = rng_next(&stage->rng) | 1;
 	opt.incarnation = n->incarnation;
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -107,6 +107,7 @@
 	int extra_sends;
 	int first_sends;
 	uint64_t store_calls;
+	uint32_t without; /* mechanisms that are off in nodes started later */
 	int traced; /* question whose log is printed, -1: none */
 	struct stage_store *store;
 	struct stage_queue *queue;
--- a/tier.c
+++ b/tier.c
@@ -78,7 +78,8 @@
 	tier->incarnation = opt->incarnation;
 	tier->fx = fx;
 	tier->notes.fx = fx;
-	tier->roster = roster_create(tier->pool, tier->settings.domain);
+	tier->roster =
+		roster_create(tier->pool, tier->settings.domain, opt->without);
 	directory_init(&tier->dir, tier->pool, opt->dialect, tier->roster,
 		       &tier->notes);
 	tier->dir.cold_factor = tier->settings.cold_factor;
@@ -88,14 +89,17 @@
 	tier->calls.roster = tier->roster;
 	tier->calls.budget =
 		budget_create(tier->pool, rules_of(&tier->settings));
+	tier->calls.without = opt->without;
 	tier->calls.fx = fx;
 	tier->calls.notes = &tier->notes;
 	gossip_init(&tier->gossip, tier->pool, fx, &tier->calls.rng,
 		    &tier->settings, opt->incarnation, now);
 	share_init(&tier->share, &tier->gossip, &tier->reader, fx,
-		   tier->settings.first_start, now);
+		   tier->settings.first_start ||
+			   !mechanism_on(opt->without, MECHANISM_QUICK_START),
+		   now);
 	spread_init(&tier->spread, &tier->gossip, tier->roster,
-		    &tier->calls.rng);
+		    &tier->calls.rng, opt->without);
 	batch_book_init(&tier->batches, tier->pool, &tier->gossip,
 			&tier->spread);
 	merge_init(&tier->calls, &tier->batches);
--- a/tier.h
+++ b/tier.h
@@ -19,12 +19,14 @@
  * @dialect: how the outside speaks
  * @incarnation: differs for every process, also on the same address
  * @seed: for the random numbers
+ * @without: set of mechanisms that are off (mechanism.h)
  */
 struct tier_options {
 	const struct vm_settings *settings;
 	const struct dialect *dialect;
 	uint64_t incarnation;
 	uint64_t seed;
+	uint32_t without;
 };
 
 struct tier *tier_create(const struct tier_options *opt, int64_t now,
