Comments say what is protected; hedges and retries by their names

Cause: comments told of tuning (figures of old trials), and 'second send' stood for hedge, retry or both. Ruled out: nothing; no code changes.

--- a/batch.c
+++ b/batch.c
@@ -229,9 +229,9 @@
 }
 
 /*
- * Two nodes that both ask second targets of a shard would ask more of them than
- * its route allows. So a node first sends word and waits for this one's, which
- * from then on asks no more targets itself should the other be lost.
+ * Two nodes that both ask further targets of a shard would ask more of them
+ * than its route allows. So a node first sends word and waits for this one's,
+ * which from then on asks no more targets itself should the other be lost.
  */
 static void grant(struct calls *calls, struct batch *batch)
 {
--- a/batch.h
+++ b/batch.h
@@ -20,7 +20,7 @@
  * @parts: indexes of the shards that it has not answered for
  * @tried: targets of each that may have been asked before
  * @replied: something has come back
- * @wants_go, @go: the node asked to ask second targets, and was told that it
+ * @wants_go, @go: the node asked to ask further targets, and was told that it
  * may
  */
 struct batch {
@@ -74,7 +74,7 @@
 		    const struct msg *msg);
 void batch_on_lost(struct calls *calls, struct str addr);
 
-/** batch_on_go() - the node at @from knows that second targets are asked. */
+/** batch_on_go() - the node at @from knows that further targets are asked. */
 void batch_on_go(struct calls *calls, struct str from, const struct msg *msg);
 
 /**
--- a/bench/heavy.py
+++ b/bench/heavy.py
@@ -11,7 +11,7 @@
 import subprocess
 import sys
 
-LINE = re.compile(r"^(.+?) +credit ([\d.]+), failed ([\d.]+), second sends "
+LINE = re.compile(r"^(.+?) +credit ([\d.]+), failed ([\d.]+), retries "
                   r"([\d.]+) %", re.M)
 PLOT = """set terminal pngcairo size 820,440
 set output 'docs/heavy-days.png'
--- a/budget.h
+++ b/budget.h
@@ -8,10 +8,10 @@
 /**
  * DOC: how many requests may be sent beyond the first
  *
- * Second sends are bounded for each service over all nodes together. Each node
- * keeps within its own part: a share of the requests that it has itself sent
- * there, and of the extra ones by the number of nodes that send. The parts add
- * up to less than the whole, so the bound holds without any talk.
+ * Hedges and retries are bounded for each service over all nodes together. Each
+ * node keeps within its own part: a share of the requests that it has itself
+ * sent there, and of the extra ones by the number of nodes that send. The parts
+ * add up to less than the whole, so the bound holds without any talk.
  */
 
 struct budget;
--- a/call.h
+++ b/call.h
@@ -63,17 +63,14 @@
 enum send_result {
 	SEND_DONE,
 	SEND_NO_TARGET, /* none may be asked now */
-	SEND_NO_BUDGET, /* second sends have used up their part */
+	SEND_NO_BUDGET, /* hedges and retries have used up the bound */
 	SEND_NO_TRIES, /* the route allows no more targets */
 };
 
 enum {
 	/* Targets of a shard that are kept in mind. */
 	CALL_TRIES_MAX = 4,
-	/*
-	 * Sends of a shard: of a target that rejects three of five requests,
-	 * five tries leave one question in thirteen without it.
-	 */
+	/* Sends of a shard: few targets reject so often in a row. */
 	CALL_SENDS_MAX = 5,
 };
 
@@ -116,8 +113,8 @@
  * @review_at: next review; 0 when none is planned
  * @wanted, @nwanted: shards that @asker wants; all of them for a caller
  * @may_hand_on: @asker handed over a whole question, far shards included
- * @go: @asker knows that second targets are asked from here
- * @retry_share: this node's part of second sends that are free; 0: of all nodes
+ * @go: @asker knows that further targets are asked from here
+ * @retry_share: this node's part of the free retries; 0: of all nodes alike
  * @tried: targets of each shard that @asker, or a node it asked, may have had
  * @batches: shards that other nodes were asked for
  * @handed: times that a whole question was handed over
--- a/forward.c
+++ b/forward.c
@@ -11,7 +11,7 @@
 };
 
 /*
- * A second target is asked at this part of the goal: the work of a single
+ * A hedge goes out at this part of the goal: the work of a single
  * request spreads widely, so sooner would double the work of many.
  */
 static const double HEDGE_GOAL_PART = 0.55;
--- a/merge.c
+++ b/merge.c
@@ -5,9 +5,8 @@
 
 enum {
 	/*
-	 * A reply is late after this multiple of its target's usual time: the
-	 * times of targets spread by about a third, so 2 % of replies that are
-	 * merely slow are asked for twice.
+	 * A reply is late after this multiple of its target's usual time: few
+	 * replies that are merely slow are then asked for twice.
 	 */
 	HEDGE_TIMES = 2,
 	/* Never sooner, so that a round trip's noise does not count. */
@@ -138,8 +137,8 @@
 /*
  * Shards that are in, or still may be: those too that wait for room at a target
  * or for a part of the retry budget. While too few are in, a late answer is
- * better than none: giving up at the soft deadline instead had callers ask all
- * shards anew, and of 100 questions that were short of room 45 failed, not 40.
+ * better than none: given up at the soft deadline, callers would ask all shards
+ * anew, and the load that makes them wait would grow.
  */
 static size_t count_possible(const struct calls *calls, const struct call *call)
 {
@@ -258,8 +257,9 @@
 }
 
 /*
- * For another node second targets are asked only once it knows of them: else,
- * should it hear nothing more from here, it would ask further ones itself.
+ * On behalf of another node further targets are asked only once it knows: else,
+ * should it hear nothing more from here, it would ask yet others itself, and
+ * all together more than the route allows.
  */
 static void send_again(struct calls *calls, struct call *call, size_t part)
 {
@@ -541,8 +541,7 @@
 		take_part(call, parts[i]);
 	if (nparts)
 		take(call, msg->body, msg->text);
-	/* It may be about to ask second targets; so must this one's asker know.
-	 */
+	/* It may be about to retry, of which this one's asker must know. */
 	if (!msg->state && call->asker.len && !state->told)
 		tell_asker(calls, call, false);
 	settle(calls, call);
--- a/metric.c
+++ b/metric.c
@@ -18,7 +18,7 @@
 	[METRIC_SENT_AGAIN] = { "sent_again",
 				"sends to targets beyond the first" },
 	[METRIC_NO_BUDGET] = { "no_budget",
-			       "second sends that the shared bound forbade" },
+			       "hedges and retries that the shared bound forbade" },
 	[METRIC_NOT_RUN] = { "not_run", "requests that targets rejected" },
 	[METRIC_FAILED] = { "failed", "requests that targets failed" },
 	[METRIC_CUT] = { "cut", "requests cut as nobody waited for them" },
--- a/msg.h
+++ b/msg.h
@@ -25,7 +25,8 @@
  * @state whether far ones may be handed on, @attempt targets of each that were
  * tried; ASK_REPLY brings records in @body,
  * signatures in @text of the shards in @name, @state when it is the last. After
- * the first word of a node the asking one says GO: second targets may be asked.
+ * the first word of a node the asking one says GO: further targets may be
+ * asked.
  */
 enum msg_kind {
 	MSG_NONE,
--- a/roster.c
+++ b/roster.c
@@ -24,7 +24,7 @@
 	FORGET_HALF_US = 1000000,
 	/*
 	 * A try that finds it as slow doubles that time, at most so often: each
-	 * such try makes a question late or costs a second send, and slowness
+	 * such try makes a question late or costs a retry, and slowness
 	 * that has lasted is likely to last.
 	 */
 	SLOW_TRIES_MAX = 4,
@@ -35,10 +35,8 @@
 	REST_MAX_US = 1600000,
 	/*
 	 * What a request costs that is not served: a part of the retry budget,
-	 * which is soon used up, and then the shard is missing. Where one
-	 * target of each shard rejects 60 % this turns all but the overflow to
-	 * the other: of 100 first sends 2.0 are sent again, at 60 ms 4.3; whole
-	 * answers in time rise from 0.980 to 0.996. 500 ms is no better.
+	 * which is soon used up, and then the shard is missing. More than most
+	 * waits, so a target that rejects gets the overflow only.
 	 */
 	FAULT_WAIT_US = 250000,
 	/* A target that did not serve is tried again as this halves. */
@@ -478,10 +476,9 @@
 
 /*
  * Of a target that has as many requests of this node as it bears: one of them
- * must be answered first. A good target in another failure domain bears one, so
- * every second request went to a slow one at hand whose reply came four times
- * as late; to wait is better. With one of a shard's two targets slow, of 100
- * first sends 0.3 are sent again instead of 1.6, and all answers are in time.
+ * must be answered first. A quick target that is busy is worth the wait: were
+ * the request sent to a slow one at hand instead, its reply would come later
+ * still, and a retry be spent on it.
  */
 static int64_t expect_busy(const struct roster *roster,
 			   const struct live_target *target,
--- a/share.c
+++ b/share.c
@@ -15,17 +15,16 @@
 	PATIENT_US = 400000,
 	LONG_PATIENT_US = 1200000,
 	/*
-	 * Callers are refused until a configuration is there: after a power
-	 * loss of all VMs half of the nodes answered nothing for 0.4 s. The
-	 * first time is for an answer of a seed that lives, some ms away and
-	 * with a tenth of a core; the second for a reader's own start.
+	 * Callers are refused until a configuration is there. The first time
+	 * is for the answer of a seed that lives; the second for a reader's own
+	 * start.
 	 */
 	QUICK_US = 40000,
 	LONG_QUICK_US = 300000,
 	/*
-	 * With more nodes than this known one is patient: read by 300 nodes at
-	 * a time, the whole table keeps the store's link busy for seconds, and
-	 * all served only 8.5 s after a common start. Told by readers: 1.5 s.
+	 * With more nodes than this known one is patient: read by hundreds of
+	 * nodes at a time, the whole table keeps the store's link busy for
+	 * seconds, in which none serves; from readers each has it sooner.
 	 */
 	QUICK_NODES = 24,
 	/* More is asked for at most this often. */
--- a/spread.c
+++ b/spread.c
@@ -22,9 +22,8 @@
 
 /*
  * Merging nodes send nearly all requests to targets, so they get this part of
- * the free second sends; the rest is for nodes that cannot reach any of them.
- * Shared by all 61 nodes alike, three quarters of them were never used while
- * the 16 that merge had none left.
+ * the free retries; the rest is for nodes that cannot reach any of them. Shared
+ * by all nodes alike, most would stay unused while those that merge have none.
  */
 static const double MERGERS_SHARE = 0.8;
 
--- a/tests/check_load.c
+++ b/tests/check_load.c
@@ -32,7 +32,7 @@
  * @spoil: called before each question, to set what is wrong by then
  * @credit: least mean of the squared share of shards that are in by the goal
  * @failed: most questions of a hundred that end without an answer
- * @extra: most second sends, in a hundred first ones
+ * @extra: most hedges and retries, in a hundred first sends
  */
 struct pattern {
 	const char *name;
@@ -183,7 +183,7 @@
 
 /**
  * struct result - what callers got, each a share of the questions
- * @extra: second sends, in a hundred first ones
+ * @extra: hedges and retries, in a hundred first sends
  */
 struct result {
 	double credit;
@@ -226,7 +226,7 @@
 	stage_run(stage, 2 * SECOND_US);
 	result = judge(stage, from);
 	result.extra = 100.0 * stage->extra_sends / stage->first_sends;
-	printf("%-24s credit %.3f, failed %.3f, second sends %.1f %%\n",
+	printf("%-24s credit %.3f, failed %.3f, retries %.1f %%\n",
 	       pattern->name, result.credit, result.failed, result.extra);
 	if (!without)
 		tell_failed(stage, from);
@@ -238,7 +238,7 @@
 /*
  * Callers ask all the while. What goes wrong at the targets reaches them as a
  * late or partial answer; a node that knows of it asks the other target of the
- * shard first, and keeps second sends for what it could not know.
+ * shard first, and keeps hedges for what it could not know.
  */
 START_TEST(test_pattern)
 {
@@ -249,8 +249,8 @@
 		      pattern->name, result.credit);
 	ck_assert_msg(100 * result.failed <= pattern->failed, "%s: failed %.3f",
 		      pattern->name, result.failed);
-	ck_assert_msg(result.extra <= pattern->extra,
-		      "%s: second sends %.1f %%", pattern->name, result.extra);
+	ck_assert_msg(result.extra <= pattern->extra, "%s: retries %.1f %%",
+		      pattern->name, result.extra);
 }
 END_TEST
 
--- a/tests/check_tier.c
+++ b/tests/check_tier.c
@@ -576,8 +576,9 @@
 
 /*
  * All nodes start anew, seeds last. Until a node knows of the others it takes
- * too large a part of what all may do together: second sends, and requests to
- * cold targets. So all know of all well within a second of the last start.
+ * too large a part of what all may do together: hedges and retries, and
+ * requests to cold targets. So all know of all well within a second of the last
+ * start.
  */
 START_TEST(test_nodes_meet_quickly)
 {
@@ -620,7 +621,7 @@
 
 /*
  * Most targets reject two of three requests. Callers are served as far as the
- * bound on second sends lets, and the bound holds over all nodes together.
+ * retry bound lets, and the bound holds over all nodes together.
  */
 START_TEST(test_shared_retry_bound)
 {
--- a/tests/fuzz_tier.c
+++ b/tests/fuzz_tier.c
@@ -209,7 +209,7 @@
 		return "shards asked at more targets than the route allows";
 	if (stage->extra_sends >
 	    stage->first_sends / 5 + 2 * STAGE_SHARDS * 60 * 2)
-		return "second sends beyond the shared bound";
+		return "retries beyond the shared bound";
 	return NULL;
 }
 
