Shards are left out at 0.85 of the goal, not 0.75

Cause: since places at targets are given in order and short requests are judged by their own times, answers at the soft deadline lacked shards that came within the next tenth of the goal.

--- a/merge.c
+++ b/merge.c
@@ -26,7 +26,7 @@
 /* A hedge at a slow target must still be in time itself. */
 static const double HEDGE_GOAL_PART = 0.3;
 /* Goals are short where little is merged; the return takes its part of them. */
-static const double SOFT_GOAL_PART = 0.75;
+static const double SOFT_GOAL_PART = 0.85;
 /*
  * Another node hedges by itself, so it is given longer than a target; then it
  * is taken to be stuck, while targets can still be asked in time from here.
