What is seen of a target in a module of its own

Cause: roster.c had grown to 684 lines: the table of targets, the choice among them and what each has shown. Ruled out: nothing; no behaviour changes. Change: track.c knows one target only; roster.c (491 lines) the table and the choice; a field that nobody read is gone.

--- a/call.c
+++ b/call.c
@@ -221,7 +221,7 @@
 	remember_tried(p, target->key);
 	p->nsent++;
 	p->open++;
-	roster_sent(calls->roster, target, attempt->usual_us, calls->now);
+	track_sent(target, attempt->usual_us, calls->now);
 	fx->id = attempt->id;
 	fx->addr = str_dup(calls->fx->pool, target->addr);
 	fx->expected = str_dup(calls->fx->pool, target->id);
--- a/merge.c
+++ b/merge.c
@@ -88,7 +88,7 @@
 			   const struct attempt *attempt)
 {
 	int64_t late =
-		(int64_t)(roster_reply_us(attempt->target, attempt->usual_us) *
+		(int64_t)(track_reply_us(attempt->target, attempt->usual_us) *
 			  HEDGE_TIMES);
 	int64_t most =
 		(int64_t)((double)call->route->goal_us * HEDGE_GOAL_PART);
--- a/roster.c
+++ b/roster.c
@@ -5,8 +5,6 @@
 #include "xmalloc.h"
 
 enum {
-	/* A reply over this multiple of the usual time is overdue. */
-	OVERDUE_TIMES = 2,
 	/*
 	 * What a request to a target with an overdue reply is expected to wait
 	 * on top: the rest of a pause, which lasts a tenth of a second or so.
@@ -17,64 +15,22 @@
 	 * domains that are paid for: worth a wait of this long.
 	 */
 	FAR_WAIT_US = 35000,
-	/*
-	 * Slow targets must be seen to have recovered: without requests the
-	 * smoothed time halves each second, until one tries it again.
-	 */
-	FORGET_HALF_US = 1000000,
-	/*
-	 * A try that finds it as slow doubles that time, at most so often: each
-	 * such try makes a question late or costs a retry, and slowness
-	 * that has lasted is likely to last.
-	 */
-	SLOW_TRIES_MAX = 4,
-	/* Replies after a pause come together and are one finding. */
-	SLOW_TRY_GAP_US = 300000,
-	/* A target that failed waits, doubled with each failure in a row. */
-	REST_US = 100000,
-	REST_MAX_US = 1600000,
 	/*
 	 * What a request costs that is not served: a part of the retry budget,
 	 * which is soon used up, and then the shard is missing. More than most
 	 * waits, so a target that rejects gets the overflow only.
 	 */
 	FAULT_WAIT_US = 250000,
-	/* A target that did not serve is tried again as this halves. */
-	FAULT_HALF_US = 1500000,
-	/* One that was full rests for about the time of a request. */
-	REST_FULL_US = 15000,
 	/*
 	 * Entries that lapsed while the store was away come back within two
 	 * seconds of its return if their target lives.
 	 */
 	LAPSE_US = 2000000,
-	/*
-	 * A target whose address another one has is gone, but its entry may be
-	 * written a few times more. Longer than entries outlive their target.
-	 */
-	MOVED_US = 10000000,
 	/* Targets that are gone are remembered until no late word can come. */
 	KEPT_US = 30000000,
-	/*
-	 * Without an answer for this long, or this multiple of its usual time,
-	 * and to so many requests, a target is silent: pauses are far shorter.
-	 */
-	SILENT_US = 400000,
-	SILENT_TIMES = 6,
-	SILENT_LEAST = 3,
-	/* It is tried this often. */
-	PROBE_US = 200000,
 	SECOND_US = 1000000,
 };
 
-/* And quick, so that it has recovered, if this multiple is still less. */
-static const double QUICK_TIMES = 2;
-/* A reply is slow if it takes this multiple of what was expected. */
-static const double SLOW_TIMES = 1.5;
-
-/* Weight of a new sample in the smoothed time: follows in about five. */
-static const double SMOOTHING = 0.2;
-
 /**
  * struct group - targets of a service, and what bounds them
  * @cold_per_second: requests that this node may send to a cold one, 0: any
@@ -295,31 +251,6 @@
 	group_get(roster, service)->conns = bound;
 }
 
-static double remembered(const struct live_target *target, int64_t now)
-{
-	/* A first slow reply may be a pause, which ends by itself. */
-	int confirmed = target->slow_tries > 1 ? target->slow_tries - 1 : 0;
-	double half = (double)(FORGET_HALF_US << confirmed);
-	double halvings = (double)(now - target->slowness_at) / half;
-	double slowness = target->slowness;
-
-	if (!target->slowness_at || halvings < 0.1)
-		return slowness;
-	while (halvings > 0 && slowness > 1) {
-		slowness *= halvings >= 1 ? 0.5 : 1 - halvings / 2;
-		halvings -= 1;
-	}
-	return slowness;
-}
-
-/* It has not answered within a multiple of its usual time: a pause, mostly. */
-static bool is_overdue(const struct live_target *target, int64_t now)
-{
-	int64_t age = target->asked_at ? now - target->asked_at : 0;
-
-	return age > (int64_t)(target->asked_us * OVERDUE_TIMES);
-}
-
 /*
  * What queues at a slow target is answered too late to be of use, and makes
  * each later one later still: so few are sent there that a reply comes within
@@ -329,7 +260,7 @@
 		    const struct live_target *target, double usual_us,
 		    int64_t goal_us)
 {
-	double us = roster_reply_us(target, usual_us);
+	double us = track_reply_us(target, usual_us);
 	int most;
 
 	if (!group)
@@ -362,21 +293,6 @@
 	       target->cold_sent >= group->cold_per_second;
 }
 
-/*
- * A target that lost power takes connections' bytes and answers nothing, while
- * its entry stands for seconds. Asking it costs each question a hedge, and two
- * such targets of a shard a wait that is known to be in vain.
- */
-static bool is_silent(const struct live_target *target, int64_t now)
-{
-	int64_t patience = (int64_t)(target->asked_us * SILENT_TIMES);
-
-	if (patience < SILENT_US)
-		patience = SILENT_US;
-	return target->unanswered >= SILENT_LEAST &&
-	       now - target->silent_since > patience;
-}
-
 static enum target_use use_for(const struct roster *roster,
 			       const struct live_target *target,
 			       double usual_us, int64_t goal_us, int64_t now)
@@ -398,8 +314,8 @@
 		return USE_LEAVING;
 	if (now < target->down_until && has(roster, MECHANISM_TARGET_REST))
 		return USE_DOWN;
-	if (has(roster, MECHANISM_SILENT_TARGETS) && is_silent(target, now) &&
-	    now < target->probe_at)
+	if (has(roster, MECHANISM_SILENT_TARGETS) &&
+	    track_is_silent(target, now) && now < target->probe_at)
 		return USE_SILENT;
 	if (has(roster, MECHANISM_COLD_BOUND) &&
 	    cold_is_full(group, target, now))
@@ -415,43 +331,25 @@
 	return use_for(roster, target, 0, 0, now);
 }
 
-static double fault_share(const struct live_target *target, int64_t now)
-{
-	int64_t age = now - target->faults_at;
-
-	return target->faults * FAULT_HALF_US / (double)(FAULT_HALF_US + age);
-}
-
-static void count_fault(struct live_target *target, bool fault, int64_t now)
-{
-	double known = fault_share(target, now);
-
-	target->faults = known + SMOOTHING * ((fault ? 1.0 : 0.0) - known);
-	target->faults_at = now;
-}
-
-double roster_reply_us(const struct live_target *target, double usual_us)
-{
-	return usual_us * target->slowness;
-}
-
 int64_t roster_expect(const struct roster *roster,
 		      const struct live_target *target, double usual_us,
 		      int64_t now)
 {
-	double us =
-		usual_us *
-		(has(roster, MECHANISM_SLOWNESS) ? remembered(target, now) : 1);
+	double us = usual_us * (has(roster, MECHANISM_SLOWNESS)
+					? track_slowness(target, now)
+					: 1);
 	int slots = target->slots > 0 ? target->slots : 1;
 	double queued = (double)target->open / slots;
 	int64_t expected = (int64_t)(us * (1 + queued));
 
-	if (has(roster, MECHANISM_OVERDUE_COST) && is_overdue(target, now))
+	if (has(roster, MECHANISM_OVERDUE_COST) &&
+	    track_is_overdue(target, now))
 		expected += OVERDUE_WAIT_US;
 	if (now < target->cold_until)
 		expected += (int64_t)us;
 	if (has(roster, MECHANISM_FAULT_COST))
-		expected += (int64_t)(FAULT_WAIT_US * fault_share(target, now));
+		expected +=
+			(int64_t)(FAULT_WAIT_US * track_faults(target, now));
 	if (has(roster, MECHANISM_TARGET_REST) && now < target->wary_until)
 		expected += target->wary_until - now;
 	if (has(roster, MECHANISM_FAR_COST) && !target->near)
@@ -485,7 +383,7 @@
 			   const struct choice *choice)
 {
 	return roster_expect(roster, target, choice->usual_us, choice->now) +
-	       (int64_t)roster_reply_us(target, choice->usual_us);
+	       (int64_t)track_reply_us(target, choice->usual_us);
 }
 
 struct live_target *roster_choose(struct roster *roster,
@@ -578,102 +476,11 @@
 	return roster->count;
 }
 
-/* What is seen of a target. */
-
-void roster_sent(struct roster *roster, struct live_target *target,
-		 double usual_us, int64_t now)
-{
-	(void)roster;
-	if (!target->open++) {
-		target->asked_at = now;
-		target->asked_us = roster_reply_us(target, usual_us);
-	}
-	if (!target->unanswered++)
-		target->silent_since = now;
-	target->probe_at = now + PROBE_US;
-	if (now < target->cold_until) {
-		if (now - target->cold_second >= SECOND_US) {
-			target->cold_second = now;
-			target->cold_sent = 0;
-		}
-		target->cold_sent++;
-	}
-}
-
-static void count_slow_try(struct live_target *target, double times,
-			   int64_t now)
-{
-	double known = remembered(target, now);
-
-	if (times * QUICK_TIMES < known) {
-		target->slow_tries = 0;
-		return;
-	}
-	if (times > known * SLOW_TIMES &&
-	    now - target->slowness_at > SLOW_TRY_GAP_US &&
-	    target->slow_tries < SLOW_TRIES_MAX)
-		target->slow_tries++;
-}
-
-static void smooth(struct live_target *target, double times, int64_t now)
-{
-	double known = remembered(target, now);
-
-	target->slowness = known + SMOOTHING * (times - known);
-	target->slowness_at = now;
-}
-
-static int64_t rest_us(const struct live_target *target)
-{
-	int64_t us = REST_US;
-
-	for (int i = 1; i < target->failures && us < REST_MAX_US; i++)
-		us *= 2;
-	return us;
-}
-
 void roster_answered(struct roster *roster, struct live_target *target,
 		     enum target_reply what, double usual_us, int64_t sent_at,
 		     int64_t now)
 {
-	double times = (double)(now - sent_at) / usual_us;
-
-	target->open--;
-	/* The others were sent at this one's time or later. */
-	target->asked_at = target->open ? now : 0;
-	if (what != REPLY_DROPPED)
-		target->unanswered = 0;
-	switch (what) {
-	case REPLY_GOOD:
-		count_fault(target, false, now);
-		target->failures = 0;
-		target->answered_at = now;
-		count_slow_try(target, times, now);
-		smooth(target, times, now);
-		break;
-	case REPLY_FULL:
-		count_fault(target, true, now);
-		target->answered_at = now;
-		target->wary_until = now + REST_FULL_US;
-		break;
-	case REPLY_FAILED:
-		count_fault(target, true, now);
-		target->failures++;
-		target->wary_until = now + rest_us(target);
-		break;
-	case REPLY_DOWN:
-		target->failures++;
-		target->down_until = now + rest_us(target);
-		break;
-	case REPLY_OTHER:
-		target->moved_until = now + MOVED_US;
-		break;
-	case REPLY_DROPPED:
-		/* At least this long: a slow target must not look quick. */
-		if (times > target->slowness)
-			smooth(target, times, now);
-		break;
-	}
+	track_answered(target, what, usual_us, sent_at, now);
 	if (!target->open && !target->service) {
 		free_strings(target);
 		free(target);
--- a/roster.h
+++ b/roster.h
@@ -2,6 +2,7 @@
 
 #include "dialect.h"
 #include "mechanism.h"
+#include "track.h"
 
 /**
  * DOC: targets, and which of them a request goes to
@@ -24,65 +25,6 @@
 		   */
 };
 
-/**
- * struct live_target - a published target
- * @key: hash of the id
- * @domain_key: hash of its failure domain
- * @near: in this node's failure domain
- * @listed: its entry is in the store
- * @left_at: when its entry went, or said that it is leaving; 0: it has not
- * @moved_until: its address was found to be another target's, until then its
- *               entry is not believed
- * @cold_until: it is cold until then
- * @down_until: takes no connections, and is not tried until then
- * @wary_until: failed or was full just now: others go first until then
- * @failures: in a row
- * @faults: smoothed share of requests that it did not serve, at @faults_at
- * @open: requests of this node that it has not answered
- * @asked_at: when the oldest of them was sent; 0 when there is none
- * @asked_us: what its reply was expected to take
- * @answered_at: when it last answered
- * @silent_since: first request since then, 0 for none; @unanswered: how many
- * @probe_at: when a silent one is next tried
- * @slowness: smoothed time from sending to the reply, as a multiple of what is
- *            usual for the kind of request, at @slowness_at
- * @slow_tries: times that it was tried again and was as slow as before
- * @cold_second, @cold_sent: requests sent in the present second while cold
- */
-struct live_target {
-	struct str id;
-	uint64_t key;
-	uint64_t service;
-	struct str addr;
-	struct str domain;
-	uint64_t domain_key;
-	int64_t born_ms;
-	int slots;
-	bool near;
-	bool listed;
-	int64_t left_at;
-	int64_t moved_until;
-	int64_t cold_until;
-	int64_t down_until;
-	int64_t wary_until;
-	int failures;
-	double faults;
-	int64_t faults_at;
-	int open;
-	int64_t asked_at;
-	double asked_us;
-	int64_t answered_at;
-	int64_t silent_since;
-	int unanswered;
-	int64_t probe_at;
-	double slowness;
-	int64_t slowness_at;
-	int slow_tries;
-	int64_t cold_second;
-	int cold_sent;
-	struct live_target *next; /* of the same service */
-};
-
 /**
  * struct choice - a request for a target
  * @avoid, @navoid: targets that have had the request already
@@ -144,8 +86,6 @@
 int64_t roster_expect(const struct roster *roster,
 		      const struct live_target *target, double usual_us,
 		      int64_t now);
-/** roster_reply_us() - of a target that nothing else keeps busy. */
-double roster_reply_us(const struct live_target *target, double usual_us);
 enum target_use roster_use(const struct roster *roster,
 			   const struct live_target *target, int64_t now);
 /** roster_any() - some target of @service may be asked, if not at once. */
@@ -161,19 +101,7 @@
 void roster_sweep(struct roster *roster, int64_t now);
 size_t roster_count(const struct roster *roster);
 
-/** roster_sent(), roster_answered() - a request went out, and came back. */
-void roster_sent(struct roster *roster, struct live_target *target,
-		 double usual_us, int64_t now);
-
-/** enum target_reply - what a reply says of its target */
-enum target_reply {
-	REPLY_GOOD,
-	REPLY_FULL, /* it did not run the request */
-	REPLY_FAILED, /* an error, a broken connection, no reply in time */
-	REPLY_DOWN, /* no connection */
-	REPLY_OTHER, /* another target has its address */
-	REPLY_DROPPED, /* nobody waited for it any more */
-};
+/** roster_answered() - track_answered(), and forget it if it is long gone. */
 
 void roster_answered(struct roster *roster, struct live_target *target,
 		     enum target_reply what, double usual_us, int64_t sent_at,
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -276,7 +276,7 @@
 	struct live_target *a = find(roster, "a");
 
 	for (int i = 0; i < 5; i++) {
-		roster_sent(roster, a, USUAL_US, now - us);
+		track_sent(a, USUAL_US, now - us);
 		roster_answered(roster, a, what, USUAL_US, now - us, now);
 	}
 }
@@ -287,11 +287,11 @@
 
 	leaving.leaving = true;
 	if (facts & BUSY_A) {
-		roster_sent(roster, find(roster, "a"), USUAL_US, now);
-		roster_sent(roster, find(roster, "a"), USUAL_US, now);
+		track_sent(find(roster, "a"), USUAL_US, now);
+		track_sent(find(roster, "a"), USUAL_US, now);
 	}
 	if (facts & STUCK_A)
-		roster_sent(roster, find(roster, "a"), USUAL_US, now - 50000);
+		track_sent(find(roster, "a"), USUAL_US, now - 50000);
 	if (facts & SLOW_A)
 		reply(roster, REPLY_GOOD, 200000, now);
 	if (facts & SLOW_LONG_AGO_A)
@@ -378,7 +378,7 @@
 	target = find(roster, "a");
 	for (int i = 0; i < 3; i++) {
 		ck_assert_int_eq(roster_use(roster, target, now), USE_OK);
-		roster_sent(roster, target, USUAL_US, now);
+		track_sent(target, USUAL_US, now);
 		now += 150000;
 		roster_answered(roster, target, REPLY_DROPPED, USUAL_US,
 				now - 150000, now);
@@ -386,7 +386,7 @@
 	ck_assert_int_eq(roster_use(roster, target, now), USE_SILENT);
 	now += 200000;
 	ck_assert_int_eq(roster_use(roster, target, now), USE_OK);
-	roster_sent(roster, target, USUAL_US, now);
+	track_sent(target, USUAL_US, now);
 	ck_assert_int_eq(roster_use(roster, target, now), USE_SILENT);
 	roster_answered(roster, target, REPLY_GOOD, USUAL_US, now, now + 9000);
 	ck_assert_int_eq(roster_use(roster, target, now + 9000), USE_OK);
@@ -409,14 +409,14 @@
 	roster_put(roster, &a, now);
 	target = find(roster, "a");
 	for (int i = 0; i < 30; i++) {
-		roster_sent(roster, target, 3 * USUAL_US, now);
+		track_sent(target, 3 * USUAL_US, now);
 		now += 6 * USUAL_US;
 		roster_answered(roster, target, REPLY_GOOD, 3 * USUAL_US,
 				now - 6 * USUAL_US, now);
 	}
-	ck_assert_double_eq_tol(roster_reply_us(target, 3 * USUAL_US),
+	ck_assert_double_eq_tol(track_reply_us(target, 3 * USUAL_US),
 				6 * USUAL_US, USUAL_US / 10.0);
-	ck_assert_double_eq_tol(roster_reply_us(target, USUAL_US), 2 * USUAL_US,
+	ck_assert_double_eq_tol(track_reply_us(target, USUAL_US), 2 * USUAL_US,
 				USUAL_US / 10.0);
 	roster_destroy(roster);
 }
@@ -518,7 +518,7 @@
 
 	roster_put(roster, &a, now);
 	target = find(roster, "a");
-	roster_sent(roster, target, USUAL_US, now);
+	track_sent(target, USUAL_US, now);
 	roster_drop(roster, STR("a"), now);
 	roster_sweep(roster, now + 40 * (int64_t)SECOND_US);
 	ck_assert_uint_eq(roster_count(roster), 1);
@@ -548,7 +548,7 @@
 	target = find(roster, "a");
 	for (int i = 0; i < 2; i++) {
 		ck_assert_int_eq(roster_use(roster, target, now), USE_OK);
-		roster_sent(roster, target, USUAL_US, now);
+		track_sent(target, USUAL_US, now);
 	}
 	ck_assert_int_eq(roster_use(roster, target, now), USE_COLD);
 	ck_assert_int_eq(roster_use(roster, target, now + SECOND_US), USE_OK);
--- /dev/null
+++ b/track.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <stdbool.h>
+
+#include "str.h"
+
+/**
+ * DOC: what this node has seen of a target
+ *
+ * How slow it is, whether it stands still, how often it does not serve. Follows
+ * from what was sent and what came back; knows no other target. Times are
+ * monotonic microseconds.
+ */
+
+/**
+ * struct live_target - a published target
+ * @key: hash of the id
+ * @domain_key: hash of its failure domain
+ * @near: in this node's failure domain
+ * @listed: its entry is in the store
+ * @left_at: when its entry went, or said that it is leaving; 0: it has not
+ * @moved_until: its address was found to be another target's, until then its
+ *               entry is not believed
+ * @cold_until: it is cold until then
+ * @down_until: takes no connections, and is not tried until then
+ * @wary_until: failed or was full just now: others go first until then
+ * @failures: in a row
+ * @faults: smoothed share of requests that it did not serve, at @faults_at
+ * @open: requests of this node that it has not answered
+ * @asked_at: when the oldest of them was sent; 0 when there is none
+ * @asked_us: what its reply was expected to take
+ * @silent_since: first request since then, 0 for none; @unanswered: how many
+ * @probe_at: when a silent one is next tried
+ * @slowness: smoothed time from sending to the reply, as a multiple of what is
+ *            usual for the kind of request, at @slowness_at
+ * @slow_tries: times that it was tried again and was as slow as before
+ * @cold_second, @cold_sent: requests sent in the present second while cold
+ */
+struct live_target {
+	struct str id;
+	uint64_t key;
+	uint64_t service;
+	struct str addr;
+	struct str domain;
+	uint64_t domain_key;
+	int64_t born_ms;
+	int slots;
+	bool near;
+	bool listed;
+	int64_t left_at;
+	int64_t moved_until;
+	int64_t cold_until;
+	int64_t down_until;
+	int64_t wary_until;
+	int failures;
+	double faults;
+	int64_t faults_at;
+	int open;
+	int64_t asked_at;
+	double asked_us;
+	int64_t silent_since;
+	int unanswered;
+	int64_t probe_at;
+	double slowness;
+	int64_t slowness_at;
+	int slow_tries;
+	int64_t cold_second;
+	int cold_sent;
+	struct live_target *next; /* of the same service */
+};
+
+/** enum target_reply - what a reply says of its target */
+enum target_reply {
+	REPLY_GOOD,
+	REPLY_FULL, /* it did not run the request */
+	REPLY_FAILED, /* an error, a broken connection, no reply in time */
+	REPLY_DOWN, /* no connection */
+	REPLY_OTHER, /* another target has its address */
+	REPLY_DROPPED, /* nobody waited for it any more */
+};
+
+/** track_sent() - a request went out whose reply usually takes @usual_us. */
+void track_sent(struct live_target *target, double usual_us, int64_t now);
+/** track_answered() - what came of the one sent at @sent_at. */
+void track_answered(struct live_target *target, enum target_reply what,
+		    double usual_us, int64_t sent_at, int64_t now);
+/** track_reply_us() - time to its reply, if nothing else keeps it busy. */
+double track_reply_us(const struct live_target *target, double usual_us);
+/** track_slowness() - multiple of what is usual, as far as still believed. */
+double track_slowness(const struct live_target *target, int64_t now);
+/** track_faults() - share of requests that it does not serve. */
+double track_faults(const struct live_target *target, int64_t now);
+/**
+ * track_is_overdue() - it has not answered within a multiple of its usual time:
+ * a pause, mostly
+ */
+bool track_is_overdue(const struct live_target *target, int64_t now);
+/** track_is_silent() - it takes requests and answers none. */
+bool track_is_silent(const struct live_target *target, int64_t now);
--- a/upstream.c
+++ b/upstream.c
@@ -488,10 +488,6 @@
 	return site;
 }
 
-/*
- * The one used last is taken, so the others reach their idle time. It must not
- * hold unread bytes or an end that the loop has not seen yet.
- */
 /*
  * A faulty target sends a second reply to a request, late, where the next one
  * is expected; its id tells it apart. A request that goes to the same target
@@ -503,6 +499,10 @@
 	return echo.len && str_eq(buf_str(&conn->echo), echo);
 }
 
+/*
+ * The one used last is taken, so the others reach their idle time. It must not
+ * hold unread bytes or an end that the loop has not seen yet.
+ */
 static struct conn *take_idle(struct site *site, struct str echo, int64_t now)
 {
 	struct conn *best = NULL;
