--- a/merge.c
+++ b/merge.c
@@ -138,7 +138,9 @@
  * Shards that are in, or still may be: those too that wait for room at a target
  * or for a part of the retry budget. While too few are in, a late answer is
  * better than none: given up at the soft deadline, callers would ask all shards
- * anew, and the load that makes them wait would grow.
+ * anew, and the load that makes them wait would grow. Where no target of a
+ * shard is left there is nothing to wait for, and the caller is told so at
+ * once.
  */
 static size_t count_possible(const struct calls *calls, const struct call *call)
 {
@@ -150,7 +152,8 @@
 		const struct part *part = &call->parts[i];
 
 		if (part->done || part->open || part->batched ||
-		    (waits && call_may_send(call, part)))
+		    (waits && call_may_send(call, part) &&
+		     roster_any(calls->roster, part->service, calls->now)))
 			possible++;
 	}
 	return possible;
--- a/tests/check_tier.c
+++ b/tests/check_tier.c
@@ -579,6 +579,27 @@
 	return value;
 }
 
+/*
+ * Targets of two shards end while their entries still stand, and one shard only
+ * may be missing. The question cannot be answered, and its caller learns it at
+ * once, with the time to come back, instead of waiting until its deadline.
+ */
+START_TEST(test_hopeless_question)
+{
+	struct stage *stage = begin(NODES);
+	const struct stage_call *call;
+
+	for (int i = 0; i < 4; i++)
+		stage->targets[i].up = false;
+	call = &stage->calls[stage_call(stage, 0, STAGE_STRICT)];
+	stage_run(stage, 2 * SECOND_US);
+	ck_assert_int_ne(call->status, 200);
+	ck_assert_int_le(took(call), GOAL_US);
+	ck_assert_int_gt(call->retry_after_us, 0);
+	stage_destroy(stage);
+}
+END_TEST
+
 /*
  * Both targets of a shard are gone. Callers get the rest in time. Each question
  * waits for a target of the shard until it ends, and no reply of one wakes
@@ -801,6 +822,7 @@
 	tcase_add_test(tcase, test_many_start_anew);
 	tcase_add_test(tcase, test_retry_bound_after_start);
 	tcase_add_test(tcase, test_store_calls);
+	tcase_add_test(tcase, test_hopeless_question);
 	tcase_add_test(tcase, test_waiters_do_not_pile_up);
 	tcase_add_test(tcase, test_store_away);
 }
