--- a/call.c
+++ b/call.c
@@ -226,7 +226,6 @@
 	fx->addr = str_dup(calls->fx->pool, target->addr);
 	fx->expected = str_dup(calls->fx->pool, target->id);
 	fx->request = &call->request;
-	fx->brief = !target->near && call_has(calls, MECHANISM_BRIEF_CONNS);
 	fx->time_left_us = call->give_up_at - calls->now;
 	fx->timeout_us = fx->time_left_us + REPLY_SLACK_US;
 }
--- a/edge.c
+++ b/edge.c
@@ -140,7 +140,6 @@
 		.echo_name = edge->dialect->names.request_id,
 		.echo = fx->request->request_id,
 		.no_body = str_eq(fx->request->method, STR("HEAD")),
-		.brief = fx->brief,
 		.connect_us = CONNECT_US,
 		.timeout_us = fx->timeout_us,
 	};
--- a/flow.h
+++ b/flow.h
@@ -122,7 +122,6 @@
  * @addr: target or node
  * @request: FLOW_SEND: lives until tier_reap()
  * @expected: FLOW_SEND: id of the target that is meant
- * @brief: FLOW_SEND: the connection will hardly be needed again soon
  * @time_left_us: FLOW_SEND: told to the target; FLOW_READ: how long the store
  *                may hold the call
  * @timeout_us: FLOW_SEND: the transfer is ended after this time
@@ -139,7 +138,6 @@
 	struct str addr;
 	const struct flow_request *request;
 	struct str expected;
-	bool brief;
 	int64_t time_left_us;
 	int64_t timeout_us;
 	int status;
--- a/mechanism.c
+++ b/mechanism.c
@@ -54,9 +54,6 @@
 						 "than they bear" },
 	[MECHANISM_QUICK_START] = { "quick-start", "nodes that start again "
 						   "read the store at once" },
-	[MECHANISM_BRIEF_CONNS] = { "brief-conns",
-				    "idle connections to other failure "
-				    "domains are closed early" },
 };
 
 const struct mechanism_info *mechanism_info(enum mechanism mechanism)
--- a/spread.c
+++ b/spread.c
@@ -269,7 +269,7 @@
 	int near = plan->self;
 	struct conn_bound bound;
 
-	if (!service || !plan->self || !spread->met ||
+	if (!service || !plan->self || !domains || !spread->met ||
 	    !mechanism_on(spread->without, MECHANISM_SHARED_CONNS))
 		return;
 	for (size_t i = 0; i < plan->count; i++)
--- a/upstream.c
+++ b/upstream.c
@@ -25,7 +25,6 @@
 	 * does, so that no request meets the peer's close.
 	 */
 	IDLE_US = 1500000,
-	BRIEF_US = 300000,
 	IDLE_PART_NUM = 7,
 	IDLE_PART_DEN = 10,
 	SWEEP_US = 250000,
@@ -47,7 +46,7 @@
 
 /**
  * struct conn - one connection
- * @id, @echo_name, @echo, @no_body, @brief: of the request at hand; id 0: none
+ * @id, @echo_name, @echo, @no_body: of the request at hand; id 0: none
  * @out, @sent: bytes of it, and how many of them have left
  * @text: header names and values, then the body, of the reply at hand
  * @skip: the reply at hand belongs to an earlier request
@@ -67,7 +66,6 @@
 	struct buf echo_name;
 	struct buf echo;
 	bool no_body;
-	bool brief;
 	struct buf out;
 	size_t sent;
 	struct buf text;
@@ -199,13 +197,6 @@
 	conn->parser.data = conn;
 }
 
-static int64_t idle_us(const struct conn *conn)
-{
-	int64_t us = conn->site->idle_us;
-
-	return conn->brief && us > BRIEF_US ? BRIEF_US : us;
-}
-
 /* Hands the whole reply over, and keeps the connection if it is clean. */
 static void conn_answer(struct conn *conn, bool keep)
 {
@@ -237,7 +228,7 @@
 	conn->text = (struct buf){ 0 };
 	if (keep) {
 		conn->state = CONN_IDLE;
-		conn->idle_until = loop_now() + idle_us(conn);
+		conn->idle_until = loop_now() + conn->site->idle_us;
 		reset_reply(conn);
 	} else {
 		conn_close(conn);
@@ -541,7 +532,6 @@
 	}
 	conn->id = req->id;
 	conn->no_body = req->no_body;
-	conn->brief = req->brief;
 	conn->out.len = 0;
 	conn->sent = 0;
 	conn->echo.len = 0;
--- a/upstream.h
+++ b/upstream.h
@@ -31,7 +31,6 @@
  *                    another value belongs to an earlier request and is
  *                    skipped. Not checked when @echo is empty or absent there
  * @no_body: the reply has no body whatever its head says
- * @brief: the connection is kept for a short time only
  * @connect_us, @timeout_us: until a connection stands, until the whole reply
  */
 struct upstream_request {
@@ -42,7 +41,6 @@
 	struct str echo_name;
 	struct str echo;
 	bool no_body;
-	bool brief;
 	int64_t connect_us;
 	int64_t timeout_us;
 };
