Targets that answer nothing need no rule of their own

Change: the mechanism, its four constants and three fields are removed. test_silent_target asks the same of the choice: the other target is taken, it is tried again, and first once it answers. Conclusion: removed.

--- a/mechanism.c
+++ b/mechanism.c
@@ -25,9 +25,6 @@
 	[MECHANISM_SLOWNESS] = { "slowness", "targets that were slow are "
 					     "avoided until one try finds them "
 					     "quick" },
-	[MECHANISM_SILENT_TARGETS] = { "silent-targets",
-				       "targets that answer nothing are tried "
-				       "now and then only" },
 	[MECHANISM_TARGET_REST] = { "target-rest", "targets that failed, were "
 						   "full or took no connection "
 						   "rest" },
--- a/roster.c
+++ b/roster.c
@@ -314,9 +314,6 @@
 		return USE_LEAVING;
 	if (now < target->down_until && has(roster, MECHANISM_TARGET_REST))
 		return USE_DOWN;
-	if (has(roster, MECHANISM_SILENT_TARGETS) &&
-	    track_is_silent(target, now) && now < target->probe_at)
-		return USE_SILENT;
 	if (has(roster, MECHANISM_COLD_BOUND) &&
 	    cold_is_full(group, target, now))
 		return USE_COLD;
--- a/roster.h
+++ b/roster.h
@@ -19,7 +19,6 @@
 	USE_LEAVING, /* it drains, or its entry is gone */
 	USE_DOMAIN_OUT,
 	USE_DOWN, /* took no connection just now */
-	USE_SILENT, /* answers nothing; tried now and then */
 	USE_COLD, /* has its share of requests for this second */
 	USE_BUSY, /* has as many requests of this node as its connections bear
 		   */
--- a/track.c
+++ b/track.c
@@ -28,15 +28,6 @@
 	 * written a few times more. Longer than entries outlive their target.
 	 */
 	MOVED_US = 10000000,
-	/*
-	 * Without an answer for this long, or this multiple of its usual time,
-	 * and to so many requests, a target is silent: pauses are far shorter.
-	 */
-	SILENT_US = 400000,
-	SILENT_TIMES = 6,
-	SILENT_LEAST = 3,
-	/* It is tried this often. */
-	PROBE_US = 200000,
 	SECOND_US = 1000000,
 };
 
@@ -72,21 +63,6 @@
 	return age > (int64_t)(target->asked_us * OVERDUE_TIMES);
 }
 
-/*
- * A target that lost power takes connections' bytes and answers nothing, while
- * its entry stands for seconds. Asking it costs each question a hedge, and two
- * such targets of a shard a wait that is known to be in vain.
- */
-bool track_is_silent(const struct live_target *target, int64_t now)
-{
-	int64_t patience = (int64_t)(target->asked_us * SILENT_TIMES);
-
-	if (patience < SILENT_US)
-		patience = SILENT_US;
-	return target->unanswered >= SILENT_LEAST &&
-	       now - target->silent_since > patience;
-}
-
 double track_reply_us(const struct live_target *target, double usual_us)
 {
 	return usual_us * target->slowness;
@@ -113,9 +89,6 @@
 		target->asked_at = now;
 		target->asked_us = track_reply_us(target, usual_us);
 	}
-	if (!target->unanswered++)
-		target->silent_since = now;
-	target->probe_at = now + PROBE_US;
 	if (now < target->cold_until) {
 		if (now - target->cold_second >= SECOND_US) {
 			target->cold_second = now;
@@ -165,8 +138,6 @@
 	target->open--;
 	/* The others were sent at this one's time or later. */
 	target->asked_at = target->open ? now : 0;
-	if (what != REPLY_DROPPED)
-		target->unanswered = 0;
 	switch (what) {
 	case REPLY_GOOD:
 		count_fault(target, false, now);
--- a/track.h
+++ b/track.h
@@ -29,8 +29,6 @@
  * @open: requests of this node that it has not answered
  * @asked_at: when the oldest of them was sent; 0 when there is none
  * @asked_us: what its reply was expected to take
- * @silent_since: first request since then, 0 for none; @unanswered: how many
- * @probe_at: when a silent one is next tried
  * @slowness: smoothed time from sending to the reply, as a multiple of what is
  *            usual for the kind of request, at @slowness_at
  * @slow_tries: times that it was tried again and was as slow as before
@@ -58,9 +56,6 @@
 	int open;
 	int64_t asked_at;
 	double asked_us;
-	int64_t silent_since;
-	int unanswered;
-	int64_t probe_at;
 	double slowness;
 	int64_t slowness_at;
 	int slow_tries;
@@ -95,5 +90,3 @@
  * a pause, mostly
  */
 bool track_is_overdue(const struct live_target *target, int64_t now);
-/** track_is_silent() - it takes requests and answers none. */
-bool track_is_silent(const struct live_target *target, int64_t now);
