A place in line is not good for a second send

Cause: read as a newcomer: a part that waited in line, was sent when its call was looked at again and failed, still had its place, and the next free target got it without the call's word. For another node further targets are asked only with that node's leave: both together could ask more of them than the route allows. Change: a place is good only for the send that it was taken for; the table of usual times is bounded. test_no_place_after_a_send: 2 sends before, 1 after.

--- a/call.c
+++ b/call.c
@@ -220,6 +220,7 @@
 		     attempt);
 	remember_tried(p, target->key);
 	p->nsent++;
+	p->waits = false;
 	p->open++;
 	track_sent(target, attempt->usual_us, calls->now);
 	fx->id = attempt->id;
@@ -314,17 +315,22 @@
 	return SEND_DONE;
 }
 
-/* Return: the part still waits; one that does not is taken out of the line. */
+/*
+ * Return: the part still waits; one that does not is taken out of the line. A
+ * part that was sent meanwhile does not: whether it may be sent again is for
+ * its call to decide, which may need another node's leave for it.
+ */
 static bool still_waits(struct calls *calls, struct line *line, size_t index)
 {
 	const struct waiter *waiter = &line->list[index];
 	struct call *call = call_find(calls, waiter->call);
 	struct part *part = call ? &call->parts[waiter->part] : NULL;
 
-	if (part && !part->done && !part->open && !part->batched)
-		return true;
-	if (part)
+	if (part && part->nsent == waiter->sends) {
+		if (!part->done && !part->batched)
+			return true;
 		part->waits = false;
+	}
 	line_drop(line, index);
 	return false;
 }
@@ -343,7 +349,7 @@
 			i += still_waits(calls, line, i);
 	part->waits = true;
 	line_add(calls->lines, part->service,
-		 (struct waiter){ call->id, index });
+		 (struct waiter){ call->id, index, part->nsent });
 }
 
 enum send_result call_send(struct calls *calls, struct call *call, size_t part)
--- a/line.h
+++ b/line.h
@@ -14,10 +14,14 @@
  * others together, and under load none would be in time.
  */
 
-/** struct waiter - a part of a call, named by id as calls end at any time */
+/**
+ * struct waiter - a part of a call, named by id as calls end at any time
+ * @sends: how often the part had been sent when it began to wait
+ */
 struct waiter {
 	uint64_t call;
 	size_t part;
+	size_t sends;
 };
 
 /** struct line - those that wait for one service */
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -8,9 +8,11 @@
 #include <check.h>
 
 #include "../budget.h"
+#include "../call.h"
 #include "../directory.h"
 #include "../head.h"
 #include "../line.h"
+#include "../note.h"
 #include "../platform/platform.h"
 #include "../records.h"
 #include "../roster.h"
@@ -462,6 +464,66 @@
 }
 END_TEST
 
+static void leave_it(struct calls *calls, struct call *call,
+		     const struct attempt *attempt,
+		     const struct flow_reply *reply)
+{
+	(void)calls;
+	(void)call;
+	(void)attempt;
+	(void)reply;
+}
+
+/*
+ * A shard waits for a target; one comes, is asked when the call is looked at
+ * again, and fails. Whether another may be asked is for the call to say, which
+ * may need another node's leave for it. Were the place that it had in line
+ * still good, a second target would be asked at once, and with those that the
+ * other node asks the route's bound on targets be broken.
+ */
+START_TEST(test_no_place_after_a_send)
+{
+	static const struct call_kind kind = { .name = "test",
+					       .in_line = true,
+					       .replied = leave_it };
+	static const struct route route = { .attempts = 3, .goal_us = 100000 };
+	struct flow_reply failed = { .result = FETCH_BROKEN };
+	struct flow_request request = { .request_id = STR("r") };
+	struct part part = { .service = 5 };
+	struct target_entry a = entry("a", "here");
+	struct target_entry b = entry("b", "there");
+	struct flow_effects fx;
+	struct note_book notes = { .fx = &fx };
+	struct calls calls;
+	struct call *call;
+
+	flow_effects_init(&fx, pool);
+	calls_init(&calls, pool, 1);
+	calls.fx = &fx;
+	calls.notes = &notes;
+	calls.now = 100 * (int64_t)SECOND_US;
+	calls.roster = roster_create(pool, STR("here"), 0);
+	calls.budget = budget_create(
+		pool, (struct budget_rules){ 1, 100, 10 * SECOND_US });
+	call = call_create(&calls, 1, &request, catalog_create(), &route);
+	call->kind = &kind;
+	call->parts = &part;
+	call->nparts = 1;
+	ck_assert_int_eq(call_send(&calls, call, 0), SEND_NO_TARGET);
+	roster_put(calls.roster, &a, calls.now);
+	roster_put(calls.roster, &b, calls.now);
+	ck_assert_int_eq(call_send(&calls, call, 0), SEND_DONE);
+	call_replied(&calls, call->attempts->id, &failed);
+	ck_assert_uint_eq(part.nsent, 1);
+	ck_assert_int_eq(part.open, 0);
+	call_finish(&calls, call);
+	calls_destroy(&calls);
+	budget_destroy(calls.budget);
+	roster_destroy(calls.roster);
+	flow_effects_free(&fx);
+}
+END_TEST
+
 /** struct turn_case - two that wait for the same place */
 struct turn_case {
 	struct claim a;
@@ -702,6 +764,7 @@
 	tcase_add_test(tcase, test_target_starts_again);
 	tcase_add_test(tcase, test_silent_target);
 	tcase_add_test(tcase, test_two_kinds);
+	tcase_add_test(tcase, test_no_place_after_a_send);
 	tcase_add_loop_test(tcase, test_turn, 0,
 			    sizeof(turn_cases) / sizeof(*turn_cases));
 	tcase_add_loop_test(tcase, test_usual, 0,
--- a/usual.c
+++ b/usual.c
@@ -5,12 +5,22 @@
 enum {
 	/* A first reply may come at once; a time of 0 could not grow. */
 	LEAST_US = 100,
+	/*
+	 * Routes come and go with configurations, and their names with them.
+	 * Beyond so many, new kinds share one entry, so that the table does not
+	 * grow for as long as the process lives.
+	 */
+	KINDS_MAX = 1024,
 };
 
 struct usual *usual_get(apr_hash_t *table, uint64_t key, int64_t guess_us)
 {
 	struct usual *usual = apr_hash_get(table, &key, sizeof(key));
 
+	if (!usual && apr_hash_count(table) >= KINDS_MAX) {
+		key = 0;
+		usual = apr_hash_get(table, &key, sizeof(key));
+	}
 	if (usual)
 		return usual;
 	usual = xcalloc(1, sizeof(*usual));
