Sight: a refused configuration shows in metrics and as an error

Cause: the record told a refused configuration by a line of level info only, no metric told one that was refused from one that had not come, and a failed call to the store did not say what it failed of. Ruled out: changing what is refused; that is for later. Change: counter configurations_refused; gauges of the revision of the configuration in force, of the newest one seen and its size; the line "configuration refused" with level error; "store lost" gives its reason. No decision changes.

--- a/directory.c
+++ b/directory.c
@@ -140,7 +140,7 @@
 }
 
 static void take_catalog(struct directory *dir, struct catalog *catalog,
-			 int64_t now)
+			 uint64_t revision, int64_t now)
 {
 	if (dir->catalog && dir->catalog->version >= catalog->version) {
 		catalog_unref(catalog);
@@ -148,12 +148,25 @@
 	}
 	catalog_unref(dir->catalog);
 	dir->catalog = catalog;
+	dir->catalog_at = revision;
 	dir->notes->version = catalog->version;
 	directory_bounds(dir, dir->nodes, dir->near);
 	note_belief(dir->notes, now, "configuration", STR("all routes"),
 		    "a newer version was published", catalog->version);
 }
 
+/*
+ * The node goes on with the version before, which callers notice only by what
+ * they are served: an operator must see it.
+ */
+static void refuse_catalog(struct directory *dir, const struct held_key *held,
+			   const char *why, int64_t now)
+{
+	metric_add(&dir->notes->metrics, METRIC_CONFIGURATIONS_REFUSED);
+	note_fault(dir->notes, now, "configuration refused", held->key, why,
+		   held->revision);
+}
+
 static void take_fact(struct directory *dir, const struct held_key *held,
 		      int64_t now)
 {
@@ -161,15 +174,24 @@
 	struct fact fact;
 	apr_pool_t *pool;
 
+	int code;
+
 	apr_pool_create(&pool, dir->pool);
-	if (dir->dialect->decode(held->key, held->value, &fact, pool, &err)) {
+	code = dir->dialect->decode(held->key, held->value, &fact, pool, &err);
+	if (fact.kind == FACT_CATALOG) {
+		dir->seen_at = held->revision;
+		dir->seen_bytes = held->value.len;
+	}
+	if (code && fact.kind == FACT_CATALOG) {
+		refuse_catalog(dir, held, err.text, now);
+	} else if (code) {
 		note_belief(dir->notes, now, "unusable", held->key, err.text,
 			    held->revision);
 		/* An entry that cannot be read names no target to use. */
 		if (fact.kind == FACT_TARGET && fact.target.id.len)
 			roster_drop(dir->roster, fact.target.id, now);
 	} else if (fact.kind == FACT_CATALOG) {
-		take_catalog(dir, fact.catalog, now);
+		take_catalog(dir, fact.catalog, held->revision, now);
 	} else if (fact.kind == FACT_TARGET) {
 		roster_put(dir->roster, &fact.target, now);
 	} else if (fact.kind == FACT_DOMAIN_OUT) {
--- a/directory.h
+++ b/directory.h
@@ -16,6 +16,9 @@
 /**
  * struct directory - the copy, and what it says
  * @catalog: newest configuration, NULL before the first
+ * @catalog_at: revision of the store at which @catalog was published
+ * @seen_at, @seen_bytes: revision and size of the newest configuration that
+ *                        was read, whether it could be taken or not
  * @revision: of the store when it was last read whole or in order
  * @read_at: when the store, or a node that had just read it, was last heard
  * @told: other nodes have told all keys up to @revision
@@ -30,6 +33,9 @@
 	struct note_book *notes;
 	apr_hash_t *keys;
 	struct catalog *catalog;
+	uint64_t catalog_at;
+	uint64_t seen_at;
+	size_t seen_bytes;
 	uint64_t revision;
 	int64_t read_at;
 	bool told;
--- a/edge.c
+++ b/edge.c
@@ -82,33 +82,39 @@
 
 /* Targets and the store. */
 
+static const char *decode_store(const struct edge *edge, struct str body,
+				struct store_reply *out, apr_pool_t *pool)
+{
+	const struct dialect *dialect = edge->dialect;
+	struct error err = { 0 };
+	int code = edge->store_call == STORE_RANGE
+			   ? dialect->range_reply(body, out, pool, &err)
+			   : dialect->watch_reply(body, out, pool, &err);
+
+	if (!code)
+		return NULL;
+	LOG_WARN("%s; %s", err.text, error_info(code)->remedy);
+	return "its reply cannot be read";
+}
+
 static void on_store_reply(struct edge *edge,
 			   const struct upstream_reply *reply)
 {
-	const struct dialect *dialect = edge->dialect;
 	struct store_reply decoded;
-	struct flow_store store = { .call = edge->store_call };
-	struct error err = { 0 };
+	struct flow_store store = { .call = edge->store_call,
+				    .reply = &decoded };
 	apr_pool_t *pool;
 
 	apr_pool_create(&pool, edge->pool);
-	if (reply->result == FETCH_OK && reply->status == 410) {
-		store.lost_history = true;
-	} else if (reply->result == FETCH_OK && reply->status == 200) {
-		int code = edge->store_call == STORE_RANGE
-				   ? dialect->range_reply(reply->body, &decoded,
-							  pool, &err)
-				   : dialect->watch_reply(reply->body, &decoded,
-							  pool, &err);
-
-		store.ok = !code;
-		store.reply = &decoded;
-		if (code)
-			LOG_WARN("%s; %s", err.text, error_info(code)->remedy);
-	} else {
-		LOG_DBG("store: result %d, status %d", (int)reply->result,
-			reply->status);
-	}
+	if (reply->result != FETCH_OK)
+		store.why = fetch_result_text(reply->result);
+	else if (reply->status == 200)
+		store.why = decode_store(edge, reply->body, &decoded, pool);
+	else
+		store.why = reply->status == 429 ? "too many calls"
+						 : "it serves none now";
+	store.lost_history = reply->result == FETCH_OK && reply->status == 410;
+	store.ok = !store.why;
 	feed(edge, (struct flow_event){ .type = FLOW_STORE, .store = &store });
 	apr_pool_destroy(pool);
 }
@@ -298,7 +304,8 @@
 		peers_reset(edge->peers, fx->addr);
 		break;
 	case FLOW_LOG:
-		log_json(LOG_CLASS_INFO, "tier", fx->text);
+		log_json(fx->severe ? LOG_CLASS_ERROR : LOG_CLASS_INFO, "tier",
+			 fx->text);
 		break;
 	case FLOW_READY:
 		edge->ready = fx->on;
--- a/event.c
+++ b/event.c
@@ -4,6 +4,19 @@
 
 #include "xmalloc.h"
 
+const char *fetch_result_text(enum fetch_result result)
+{
+	static const char *const texts[] = {
+		[FETCH_OK] = "reply",
+		[FETCH_REFUSED] = "no connection",
+		[FETCH_BROKEN] = "connection broke",
+		[FETCH_TIMEOUT] = "no reply in time",
+		[FETCH_MALFORMED] = "reply is no HTTP",
+	};
+
+	return texts[result];
+}
+
 void effects_init(struct effects *fx, apr_pool_t *parent)
 {
 	*fx = (struct effects){ 0 };
--- a/event.h
+++ b/event.h
@@ -36,6 +36,9 @@
 	FETCH_MALFORMED, /* whole reply that is not what was asked for */
 };
 
+/** fetch_result_text() - in words, for the log. */
+const char *fetch_result_text(enum fetch_result result);
+
 /**
  * struct fetched - a target's reply, parsed by the shell
  * @result: how far it came
--- a/flow.h
+++ b/flow.h
@@ -73,11 +73,13 @@
 /**
  * struct flow_store - what came of a call to the store
  * @ok: @reply holds what the store said
+ * @why: what it failed of, for the log; unused when @ok
  * @lost_history: the store no longer has the changes that were asked for
  */
 struct flow_store {
 	enum store_call call;
 	bool ok;
+	const char *why;
 	bool lost_history;
 	const struct store_reply *reply;
 };
@@ -131,6 +133,7 @@
  * @merged: FLOW_ANSWER: is a merged answer
  * @retry_after_us: FLOW_ANSWER: 0 when the caller is not told
  * @prefix, @after, @revision: FLOW_READ
+ * @text, @severe: FLOW_LOG: the line; an operator has to look at it
  */
 struct flow_effect {
 	enum flow_effect_type type;
@@ -154,6 +157,7 @@
 	uint64_t incarnation;
 	struct msg msg;
 	struct str text;
+	bool severe;
 	bool on;
 	struct caller_limits limits;
 };
--- a/metric.c
+++ b/metric.c
@@ -28,6 +28,8 @@
 	[METRIC_STORE_CALLS] = { "store_calls", "calls to the store" },
 	[METRIC_STORE_FAILED] = { "store_failed",
 				  "calls that the store did not serve" },
+	[METRIC_CONFIGURATIONS_REFUSED] = { "configurations_refused",
+					    "published configurations that could not be read" },
 };
 
 static const char *const latency_names[LATENCY_KINDS] = {
--- a/note.c
+++ b/note.c
@@ -14,10 +14,19 @@
 	[NOTE_BELIEF] = "belief",
 };
 
-static void put(struct note_book *notes, struct buf *line)
+/** struct belief - @what is so of @who now, on the grounds @why */
+struct belief {
+	const char *what;
+	struct str who;
+	const char *why;
+	uint64_t at; /* version or revision */
+};
+
+static void put(struct note_book *notes, struct buf *line, bool severe)
 {
 	struct flow_effect *fx = flow_add(notes->fx, FLOW_LOG);
 
+	fx->severe = severe;
 	fx->text = str_dup(notes->fx->pool, buf_str(line));
 	buf_free(line);
 }
@@ -35,7 +44,7 @@
 			   "\"lines\":%d}",
 			   kind_names[kind], notes->left_out[kind]);
 		notes->left_out[kind] = 0;
-		put(notes, &line);
+		put(notes, &line, false);
 	}
 }
 
@@ -171,7 +180,7 @@
 	add_waits(&line, now, call);
 	buf_printf(&line, ",\"status\":%d,\"why\":\"%s\"}", final->status,
 		   final->why);
-	put(notes, &line);
+	put(notes, &line, false);
 }
 
 void note_gone(struct note_book *notes, int64_t now, const struct call *call)
@@ -189,19 +198,12 @@
 	buf_printf(&line, ",\"why\":\"%s\"}",
 		   call->asker.len ? "the asking node has its answer"
 				   : "the caller closed");
-	put(notes, &line);
+	put(notes, &line, false);
 }
 
 void note_tried(struct note_book *notes, int64_t now, const struct call *call,
 		const struct attempt *attempt, const struct flow_reply *reply)
 {
-	static const char *const results[] = {
-		[FETCH_OK] = "reply",
-		[FETCH_REFUSED] = "no connection",
-		[FETCH_BROKEN] = "connection broke",
-		[FETCH_TIMEOUT] = "no reply in time",
-		[FETCH_MALFORMED] = "reply is no HTTP",
-	};
 	struct buf line = { 0 };
 
 	metric_add(&notes->metrics,
@@ -217,12 +219,12 @@
 		   "\"status\":%d,\"ran\":%s}",
 		   call->parts[attempt->part].ntried,
 		   (double)(now - attempt->sent_at) / 1000,
-		   results[reply->result], reply->status,
+		   fetch_result_text(reply->result), reply->status,
 		   reply->not_run || reply->other ||
 				   reply->result == FETCH_REFUSED
 			   ? "false"
 			   : "true");
-	put(notes, &line);
+	put(notes, &line, false);
 }
 
 void note_batch(struct note_book *notes, int64_t now, const struct call *call,
@@ -238,21 +240,35 @@
 	buf_printf(&line, ",\"node\":");
 	buf_json_add(&line, addr);
 	buf_printf(&line, ",\"shards_back\":%zu,\"why\":\"%s\"}", shards, why);
-	put(notes, &line);
+	put(notes, &line, false);
 }
 
-void note_belief(struct note_book *notes, int64_t now, const char *what,
-		 struct str who, const char *why, uint64_t version)
+static void put_belief(struct note_book *notes, int64_t now,
+		       const struct belief *belief, bool severe)
 {
 	struct buf line = { 0 };
 
 	if (!admit(notes, now, NOTE_BELIEF))
 		return;
 	begin(notes, &line, now, NOTE_BELIEF);
-	buf_printf(&line, ",\"what\":\"%s\",\"who\":", what);
-	buf_json_add(&line, who);
+	buf_printf(&line, ",\"what\":\"%s\",\"who\":", belief->what);
+	buf_json_add(&line, belief->who);
 	buf_printf(&line, ",\"why\":");
-	buf_json_add(&line, str_of(why));
-	buf_printf(&line, ",\"at\":%llu}", (unsigned long long)version);
-	put(notes, &line);
+	buf_json_add(&line, str_of(belief->why));
+	buf_printf(&line, ",\"at\":%llu}", (unsigned long long)belief->at);
+	put(notes, &line, severe);
+}
+
+void note_belief(struct note_book *notes, int64_t now, const char *what,
+		 struct str who, const char *why, uint64_t version)
+{
+	put_belief(notes, now, &(struct belief){ what, who, why, version },
+		   false);
+}
+
+void note_fault(struct note_book *notes, int64_t now, const char *what,
+		struct str who, const char *why, uint64_t version)
+{
+	put_belief(notes, now, &(struct belief){ what, who, why, version },
+		   true);
 }
--- a/note.h
+++ b/note.h
@@ -47,3 +47,6 @@
 /** note_belief() - @what changed for @who, and on what grounds. */
 void note_belief(struct note_book *notes, int64_t now, const char *what,
 		 struct str who, const char *why, uint64_t version);
+/** note_fault() - the same of what an operator has to mend, as an error. */
+void note_fault(struct note_book *notes, int64_t now, const char *what,
+		struct str who, const char *why, uint64_t version);
--- a/reader.c
+++ b/reader.c
@@ -98,14 +98,14 @@
 		call_watch(reader);
 }
 
-static void failed(struct reader *reader, int64_t now)
+static void failed(struct reader *reader, const char *why, int64_t now)
 {
 	int64_t pause = PAUSE_US;
 
 	metric_add(&reader->dir->notes->metrics, METRIC_STORE_FAILED);
 	if (!reader->failures++)
 		note_belief(reader->dir->notes, now, "store lost", STR("store"),
-			    "a call failed", reader->dir->revision);
+			    why, reader->dir->revision);
 	for (int i = 1; i < reader->failures && pause < PAUSE_MOST_US; i++)
 		pause *= 2;
 	roster_store_lost(reader->dir->roster, now);
@@ -166,7 +166,7 @@
 		/* A page of a read that broke off may be of another time. */
 		if (reply->call == STORE_RANGE)
 			reader->need_range = true;
-		failed(reader, now);
+		failed(reader, reply->why, now);
 		return;
 	}
 	heard(reader, now);
--- a/tests/stage.c
+++ b/tests/stage.c
@@ -645,6 +645,7 @@
 	struct flow_store store = { .call = happen->call,
 				    .ok = happen->store_ok &&
 					  !stage->store_down,
+				    .why = "no reply in time",
 				    .reply = &reply };
 
 	for (int i = 0; i < stage->store->nkeys; i++) {
--- a/tier.c
+++ b/tier.c
@@ -434,6 +434,15 @@
 		     (uint64_t)dir->nodes);
 	metric_gauge(out, "configuration_version", "in force",
 		     dir->catalog ? dir->catalog->version : 0);
+	metric_gauge(out, "configuration_revision",
+		     "of the store, at which it was published",
+		     dir->catalog_at);
+	metric_gauge(out, "configuration_seen_revision",
+		     "of the newest one that was read; above the one in force: "
+		     "it was refused",
+		     dir->seen_at);
+	metric_gauge(out, "configuration_seen_bytes", "size of that one",
+		     dir->seen_bytes);
 	metric_gauge(out, "store_revision", "that this node knows",
 		     dir->revision);
 	metric_gauge(out, "store_age_ms",
