Test of the incident: a published configuration is in force on each node

Symptom: callers are served by a version replaced over five seconds before. An operator added 1,400 routes three times; the third version reached all nodes and was in force on none. Ruled out: that it gets lost on the way: the test hands it over from a copy to another through a frame. Change: tests/check_config.c publishes versions of 1 to 8,900 routes (each value within the 1 MiB that the store takes) and asks both nodes for the last route.

--- /dev/null
+++ b/tests/check_config.c
@@ -0,0 +1,173 @@
+/*
+ * Callers were served by a version that had been replaced over five seconds
+ * before, on every node. An operator had added routes three times in a day; the
+ * third version came to all nodes, through the store and from node to node, and
+ * was never in force.
+ */
+#include <stdio.h>
+
+#include <check.h>
+
+#include "../directory.h"
+#include "../parcel.h"
+#include "../platform/platform.h"
+#include "../wire.h"
+#include "suite.h"
+
+enum {
+	/* What the store takes as one value, in bytes. */
+	VALUE_MAX = 1024 * 1024,
+};
+
+static apr_pool_t *pool;
+
+static void make_pool(void)
+{
+	apr_pool_create(&pool, NULL);
+}
+
+static void drop_pool(void)
+{
+	apr_pool_destroy(pool);
+}
+
+/** struct reading - a node's copy of what is published */
+struct reading {
+	struct flow_effects fx;
+	struct note_book notes;
+	struct directory dir;
+};
+
+static struct reading *reading_create(void)
+{
+	struct reading *reading = apr_pcalloc(pool, sizeof(*reading));
+
+	flow_effects_init(&reading->fx, pool);
+	reading->notes.fx = &reading->fx;
+	directory_init(&reading->dir, pool, &platform_dialect,
+		       roster_create(pool, STR("z"), 0), &reading->notes);
+	return reading;
+}
+
+static void reading_destroy(struct reading *reading)
+{
+	directory_destroy(&reading->dir);
+	roster_destroy(reading->dir.roster);
+	flow_effects_free(&reading->fx);
+}
+
+/* A configuration with @routes routes, each beginning with "r". */
+static struct str config_text(int version, int routes, const char *more)
+{
+	struct buf text = { 0 };
+	struct str out;
+
+	buf_printf(&text, "{\"version\":%d,\"routes\":[", version);
+	for (int i = 0; i < routes; i++)
+		buf_printf(&text,
+			   "%s{\"name\":\"r%d\",\"host\":\"h.example\","
+			   "\"prefix\":\"/r%d/\",\"kind\":\"idempotent\","
+			   "\"timeout_ms\":1200,\"service\":\"s\"%s}",
+			   i ? "," : "", i, i, more);
+	buf_printf(&text, "],\"services\":[{\"name\":\"s\","
+			  "\"health_path\":\"/health\",\"max_conns\":9}]}");
+	out = str_dup(pool, buf_str(&text));
+	buf_free(&text);
+	ck_assert_uint_le(out.len, VALUE_MAX);
+	return out;
+}
+
+static void publish(struct reading *reading, struct str text, uint64_t revision)
+{
+	struct store_item item = { .key = STR("op/config"),
+				   .value = text,
+				   .revision = revision };
+
+	directory_apply(&reading->dir, &item, 1, 1000);
+}
+
+/* One node's copy goes to another, in a frame. */
+static void pass_on(struct reading *from, struct reading *to)
+{
+	struct buf body = { 0 };
+	struct buf bytes = { 0 };
+	struct msg msg = { .kind = MSG_ITEMS };
+	struct frame frame = { .from = STR("10.0.0.1:7"),
+			       .msgs = &msg,
+			       .count = 1 };
+	struct frame got = { 0 };
+	struct error err = { 0 };
+	struct store_item *items;
+	size_t count;
+
+	directory_pack(&from->dir, 0, &body);
+	msg.body = buf_str(&body);
+	frame_encode(&frame, &bytes);
+	ck_assert_int_eq(frame_decode(buf_str(&bytes), &got, &err),
+			 (int)bytes.len);
+	ck_assert_int_eq(
+		parcel_open_items(got.msgs[0].body, pool, &items, &count), 0);
+	directory_apply(&to->dir, items, count, 1000);
+	frame_free(&got);
+	buf_free(&body);
+	buf_free(&bytes);
+}
+
+/* Routes of a version that the store has taken; the last fill its value. */
+static const int route_counts[] = { 1, 1400, 2800, 4200, 8900 };
+
+START_TEST(test_published_configuration_is_in_force)
+{
+	int routes = route_counts[_i];
+	struct reading *reader = reading_create();
+	struct reading *other = reading_create();
+	char last[16];
+
+	publish(reader, config_text(1, 1, ""), 1);
+	publish(reader, config_text(2, routes, ""), 2);
+	pass_on(reader, other);
+	ck_assert_uint_eq(reader->dir.catalog->version, 2);
+	ck_assert_uint_eq(other->dir.catalog->version, 2);
+	snprintf(last, sizeof(last), "/r%d/x", routes - 1);
+	ck_assert_ptr_nonnull(catalog_route(other->dir.catalog,
+					    STR("h.example"), str_of(last)));
+	reading_destroy(other);
+	reading_destroy(reader);
+}
+END_TEST
+
+/* What cannot be read is refused in sight of the operator. */
+START_TEST(test_refused_configuration_is_seen)
+{
+	struct reading *reading = reading_create();
+	bool told = false;
+
+	publish(reading, config_text(1, 1, ""), 1);
+	publish(reading, STR("{\"version\":2"), 2);
+	for (size_t i = 0; i < reading->fx.count; i++)
+		told = told || reading->fx.list[i].severe;
+	ck_assert(told);
+	ck_assert_uint_eq(reading->dir.catalog->version, 1);
+	ck_assert_uint_eq(reading->dir.catalog_at, 1);
+	ck_assert_uint_eq(reading->dir.seen_at, 2);
+	ck_assert_uint_eq(
+		reading->notes.metrics.counters[METRIC_CONFIGURATIONS_REFUSED],
+		1);
+	reading_destroy(reading);
+}
+END_TEST
+
+#define COUNT(table) ((int)(sizeof(table) / sizeof(*(table))))
+
+static void add(TCase *tcase)
+{
+	tcase_add_checked_fixture(tcase, make_pool, drop_pool);
+	tcase_add_loop_test(tcase, test_published_configuration_is_in_force, 0,
+			    COUNT(route_counts));
+	tcase_add_test(tcase, test_refused_configuration_is_seen);
+}
+
+int main(void)
+{
+	return suite_run("configuration", add);
+}
--- a/tests/run.py
+++ b/tests/run.py
@@ -94,7 +94,7 @@
 
 def jobs():
     for name in ("check-points", "check-input", "check-fetch", "check-tier", "check-load",
-                 "check-parts", "check-platform", "check-upstream", "check-peer"):
+                 "check-parts", "check-platform", "check-config", "check-upstream", "check-peer"):
         yield name, lambda n=name: run_check(n)
     yield "fuzz", lambda: run_program(
         "fuzz", f"{BUILD}/tests/fuzz", "1", FUZZ_SEEDS)
