--- a/tests/check_config.c
+++ b/tests/check_config.c
@@ -2,7 +2,10 @@
  * Callers were served by a version that had been replaced over five seconds
  * before, on every node. An operator had added routes three times in a day; the
  * third version came to all nodes, through the store and from node to node, and
- * was never in force.
+ * each threw it away: the decoder took 4,096 routes at most, a bound that the
+ * store does not have. Every node logged that reason at the same revision;
+ * versions below it were in force within two seconds; without the bound the
+ * third one is as well.
  */
 #include <stdio.h>
 
