A reply of the store that has begun may take as long as its bytes need

Callers saw, or would see: a change in force late; after all VMs started anew with a large configuration, refusals for seconds longer. Cause: of the incident's class, a bound that does not grow with what was accepted: a page had to be whole within 0.6 s and a watch within 1.6 s. A value of 1 MiB is 1.4 MB on the wire, 0.56 s of a link of 20 Mbit/s that nothing else uses. Calls were given up with the bytes on their way and made anew, from the start. Ruled out: a longer bound alone: a connection that has gone silent must be found within a second. Change: the times hold until the first bytes; from then on a pause of 0.6 s ends the call, and 5 s in all. Figures: test_reply_in_pieces failed for a reply whose pieces come every 60 ms for 0.7 s, passes; one that stops or never ends is given up as before.

--- a/edge.c
+++ b/edge.c
@@ -164,6 +164,8 @@
 		.addr = edge->settings.store,
 		.connect_us = fx->timeout_us,
 		.timeout_us = fx->timeout_us,
+		.pause_us = fx->pause_us,
+		.whole_us = fx->whole_us,
 	};
 
 	buf_str_add(&head, STR("GET "));
--- a/flow.h
+++ b/flow.h
@@ -126,7 +126,10 @@
  * @expected: FLOW_SEND: id of the target that is meant
  * @time_left_us: FLOW_SEND: told to the target; FLOW_READ: how long the store
  *                may hold the call
- * @timeout_us: FLOW_SEND: the transfer is ended after this time
+ * @timeout_us: FLOW_SEND: the transfer is ended after this time; FLOW_READ:
+ *              until the reply begins
+ * @pause_us, @whole_us: FLOW_READ: a reply that has begun may pause for so
+ *                       long at a time, and takes at most this long in all
  * @status, @headers, @body: FLOW_ANSWER; live until tier_reap()
  * @signatures: FLOW_ANSWER: of a merged answer
  * @missing: FLOW_ANSWER: shards left out of a merged answer
@@ -143,6 +146,8 @@
 	struct str expected;
 	int64_t time_left_us;
 	int64_t timeout_us;
+	int64_t pause_us;
+	int64_t whole_us;
 	int status;
 	struct str headers;
 	struct str body;
--- a/reader.c
+++ b/reader.c
@@ -9,6 +9,14 @@
 	WATCH_US = 1200000,
 	WATCH_SLACK_US = 400000,
 	RANGE_US = 600000,
+	/*
+	 * A large configuration takes a small VM's link for a second and more,
+	 * beside its other work. Ended by the time that a call may wait, each
+	 * call failed, and a node that started got no configuration at all. A
+	 * call that brings bytes goes on; a silent connection is found as soon.
+	 */
+	REPLY_PAUSE_US = 600000,
+	REPLY_WHOLE_US = 5000000,
 	/*
 	 * A call returns with the first change. When many targets come or go,
 	 * this pause lets a call bring several, at four calls a second at most.
@@ -34,14 +42,23 @@
 	buf_free(&reader->after);
 }
 
-static void call_range(struct reader *reader)
+static struct flow_effect *call(struct reader *reader, enum store_call read)
 {
-	const struct dialect *dialect = reader->dir->dialect;
 	struct flow_effect *fx = flow_add(reader->fx, FLOW_READ);
 
 	metric_add(&reader->dir->notes->metrics, METRIC_STORE_CALLS);
+	fx->read = read;
+	fx->pause_us = REPLY_PAUSE_US;
+	fx->whole_us = REPLY_WHOLE_US;
+	return fx;
+}
+
+static void call_range(struct reader *reader)
+{
+	const struct dialect *dialect = reader->dir->dialect;
+	struct flow_effect *fx = call(reader, STORE_RANGE);
+
 	reader->state = READER_RANGE;
-	fx->read = STORE_RANGE;
 	fx->prefix = dialect->prefixes[reader->prefix];
 	fx->after = str_dup(reader->fx->pool, buf_str(&reader->after));
 	fx->timeout_us = RANGE_US;
@@ -49,11 +66,9 @@
 
 static void call_watch(struct reader *reader)
 {
-	struct flow_effect *fx = flow_add(reader->fx, FLOW_READ);
+	struct flow_effect *fx = call(reader, STORE_WATCH);
 
-	metric_add(&reader->dir->notes->metrics, METRIC_STORE_CALLS);
 	reader->state = READER_WATCH;
-	fx->read = STORE_WATCH;
 	fx->revision = reader->dir->revision;
 	fx->time_left_us = WATCH_US;
 	fx->timeout_us = WATCH_US + WATCH_SLACK_US;
--- a/tests/check_upstream.c
+++ b/tests/check_upstream.c
@@ -80,11 +80,35 @@
 	  false, false, FETCH_OK, 200, "one", false, "two", true },
 };
 
+/** struct pieces - a reply that comes a byte at a time, and what becomes of it
+ */
+struct pieces {
+	int gap_us; /* between its bytes */
+	int count; /* bytes that come; the head states as many */
+	int stop_after; /* no more come then, 0: all come */
+	bool may_take_long; /* asked for with a pause and a whole time */
+	enum fetch_result result;
+};
+
+enum {
+	PAUSE_US = 200000,
+	WHOLE_US = 1200000,
+};
+
+static const struct pieces piece_cases[] = {
+	{ 60000, 3, 0, false, FETCH_OK },
+	{ 60000, 12, 0, false, FETCH_TIMEOUT },
+	{ 60000, 12, 0, true, FETCH_OK },
+	{ 60000, 12, 6, true, FETCH_TIMEOUT },
+	{ 60000, 30, 0, true, FETCH_TIMEOUT },
+};
+
 struct peer_conn;
 
 /** struct server - accepts, and answers requests in turn */
 struct server {
 	const struct script *script;
+	const struct pieces *pieces;
 	struct loop *loop;
 	int fd;
 	struct watch *watch;
@@ -98,6 +122,8 @@
 	struct server *server;
 	int fd;
 	struct watch *watch;
+	int sent;
+	int64_t next_at;
 	struct peer_conn *next;
 };
 
@@ -144,6 +170,16 @@
 		end(conn, false);
 		return;
 	}
+	if (server->pieces) {
+		int len = snprintf(bytes, sizeof(bytes),
+				   "HTTP/1.1 200 OK\r\nContent-Length: %d"
+				   "\r\n\r\n",
+				   server->pieces->count);
+
+		ck_assert_int_eq(send(conn->fd, bytes, (size_t)len, 0), len);
+		conn->next_at = loop_now() + server->pieces->gap_us;
+		return;
+	}
 	first = !server->requests++;
 	text = first ? server->script->first : server->script->second;
 	if (*text)
@@ -156,6 +192,27 @@
 	}
 }
 
+static void send_piece(void *ctx)
+{
+	struct server *server = ctx;
+	struct peer_conn *conn = server->conns;
+	const struct pieces *pieces = server->pieces;
+	int most = pieces->stop_after ? pieces->stop_after : pieces->count;
+
+	if (!conn || !conn->next_at || loop_now() < conn->next_at ||
+	    conn->sent == most)
+		return;
+	conn->sent++;
+	conn->next_at += pieces->gap_us;
+	send(conn->fd, "x", 1, MSG_NOSIGNAL);
+}
+
+static int64_t piece_wait(void *ctx)
+{
+	(void)ctx;
+	return 5000;
+}
+
 static void on_conn(void *ctx, int events)
 {
 	struct server *server = ctx;
@@ -207,11 +264,10 @@
 	snprintf(out->body, sizeof(out->body), "%.*s", STR_ARG(reply->body));
 }
 
-static void ask(struct upstream *up, struct loop *loop, const char *addr,
-		uint64_t id, struct str echo)
+static struct upstream_request request_of(const char *addr, uint64_t id,
+					  struct str echo)
 {
-	int64_t until = loop_now() + WAIT_US;
-	struct upstream_request request = {
+	return (struct upstream_request){
 		.id = id,
 		.addr = str_of(addr),
 		.head = STR("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
@@ -220,12 +276,27 @@
 		.connect_us = TIMEOUT_US,
 		.timeout_us = TIMEOUT_US,
 	};
+}
 
-	outcomes[id] = (struct outcome){ 0 };
-	upstream_send(up, &request);
-	while (!outcomes[id].done && loop_now() < until)
+static void ask_for(struct upstream *up, struct loop *loop,
+		    const struct upstream_request *request)
+{
+	int64_t until = loop_now() + WAIT_US;
+	struct outcome *out = &outcomes[request->id];
+
+	*out = (struct outcome){ 0 };
+	upstream_send(up, request);
+	while (!out->done && loop_now() < until)
 		loop_step(loop);
-	ck_assert(outcomes[id].done);
+	ck_assert(out->done);
+}
+
+static void ask(struct upstream *up, struct loop *loop, const char *addr,
+		uint64_t id, struct str echo)
+{
+	struct upstream_request request = request_of(addr, id, echo);
+
+	ask_for(up, loop, &request);
 }
 
 START_TEST(test_script)
@@ -262,6 +333,45 @@
 }
 END_TEST
 
+/*
+ * A configuration of a MiB takes a small VM's link longer than the call may
+ * wait for an answer: given up each time, it was never read. Bytes that keep
+ * coming are waited for; a reply that stops, or never ends, is not.
+ */
+START_TEST(test_reply_in_pieces)
+{
+	const struct pieces *pieces = &piece_cases[_i];
+	struct server server = { .pieces = pieces };
+	struct upstream_request request;
+	struct upstream *up;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, NULL);
+	server.loop = loop_create(pool);
+	listen_on_loopback(&server);
+	server.watch =
+		loop_add(server.loop, server.fd, APR_POLLIN, on_conn, &server);
+	loop_hook(server.loop,
+		  (struct loop_hook){ send_piece, piece_wait, &server });
+	up = upstream_create(server.loop,
+			     (struct upstream_handler){ on_done, NULL });
+	request = request_of(server.addr, 1, (struct str){ 0 });
+	if (pieces->may_take_long) {
+		request.pause_us = PAUSE_US;
+		request.whole_us = WHOLE_US;
+	}
+	ask_for(up, server.loop, &request);
+	ck_assert_int_eq(outcomes[1].result, pieces->result);
+	upstream_destroy(up);
+	loop_unhook(server.loop, &server);
+	drop_all(server.conns);
+	loop_del(server.watch);
+	close(server.fd);
+	loop_destroy(server.loop);
+	apr_pool_destroy(pool);
+}
+END_TEST
+
 /* Nobody listens: not a byte has left, so the request has not run. */
 START_TEST(test_refused)
 {
@@ -328,6 +438,8 @@
 {
 	tcase_add_loop_test(tcase, test_script, 0,
 			    (int)(sizeof(scripts) / sizeof(*scripts)));
+	tcase_add_loop_test(tcase, test_reply_in_pieces, 0,
+			    (int)(sizeof(piece_cases) / sizeof(*piece_cases)));
 	tcase_add_test(tcase, test_refused);
 	tcase_add_test(tcase, test_pause_is_noticed);
 }
--- a/upstream.c
+++ b/upstream.c
@@ -53,6 +53,9 @@
  * @done: the reply at hand is whole
  * @fresh: no request has been answered on it
  * @leave: close it after this reply
+ * @answer_by: the reply is given up then
+ * @pause_us, @whole_by: each piece of it moves that on by so much, at most to
+ *                       then; 0: it does not
  */
 struct conn {
 	struct upstream *up;
@@ -81,6 +84,8 @@
 	int64_t idle_until;
 	int64_t connect_by;
 	int64_t answer_by;
+	int64_t pause_us;
+	int64_t whole_by;
 };
 
 /** struct site - an address and its connections */
@@ -389,6 +394,15 @@
 	conn_fail(conn, broken(conn));
 }
 
+static void expect_more(struct conn *conn)
+{
+	if (!conn->pause_us)
+		return;
+	conn->answer_by = loop_now() + conn->pause_us;
+	if (conn->answer_by > conn->whole_by)
+		conn->answer_by = conn->whole_by;
+}
+
 static void conn_read(struct conn *conn)
 {
 	static char bytes[READ_SIZE];
@@ -410,6 +424,7 @@
 		conn_fail(conn, FETCH_REFUSED);
 		return;
 	}
+	expect_more(conn);
 	used = http_parser_execute(&conn->parser, &parser_hooks, bytes,
 				   (size_t)got);
 	if (conn->done) {
@@ -542,6 +557,8 @@
 	buf_str_add(&conn->out, req->body);
 	conn->connect_by = now + req->connect_us;
 	conn->answer_by = now + req->timeout_us;
+	conn->pause_us = req->pause_us;
+	conn->whole_by = now + req->whole_us;
 	apr_hash_set(up->busy, &conn->id, sizeof(conn->id), conn);
 	timer_add(&up->timers, conn->answer_by, TIMER_JOB, conn->id);
 	if (conn->state == CONN_OPENING) {
@@ -589,6 +606,8 @@
 		conn_fail(conn, FETCH_REFUSED);
 	else if (now >= conn->answer_by)
 		conn_fail(conn, conn->sent ? FETCH_TIMEOUT : FETCH_REFUSED);
+	else if (conn->pause_us && conn->state != CONN_OPENING)
+		timer_add(&up->timers, conn->answer_by, TIMER_JOB, id);
 }
 
 static void sweep_site(struct site *site, int64_t now)
--- a/upstream.h
+++ b/upstream.h
@@ -32,6 +32,9 @@
  *                    skipped. Not checked when @echo is empty or absent there
  * @no_body: the reply has no body whatever its head says
  * @connect_us, @timeout_us: until a connection stands, until the whole reply
+ * @pause_us, @whole_us: where not 0, @timeout_us ends with the reply's first
+ *                       bytes; from then on it may pause for @pause_us at a
+ *                       time, and take @whole_us in all
  */
 struct upstream_request {
 	uint64_t id;
@@ -43,6 +46,8 @@
 	bool no_body;
 	int64_t connect_us;
 	int64_t timeout_us;
+	int64_t pause_us;
+	int64_t whole_us;
 };
 
 /**
