Lists of published keys are packed between nodes

Callers saw: with a large configuration, answers late or in part for seconds after each change; the last node put it in force 2.9 s after the first, near the promise of 3 s where the operator's own way to the store is shorter. Ruled out: the store's calls (given up ones went to 0 before, without effect); the decoder's time (24 ms of a whole core for 4,200 routes, of which the packing takes 2.7 and unpacking 1.2). Change: a list of 16 KiB or more goes as zlib bytes, packed once by the reader and passed on as it came. A damaged one is refused whole.

--- a/parcel.c
+++ b/parcel.c
@@ -2,9 +2,22 @@
 
 #include <stdlib.h>
 
+#include <zlib.h>
+
 #include "wire.pb-c.h"
 #include "xmalloc.h"
 
+enum {
+	/*
+	 * A configuration of a MiB, told to four nodes, took a small VM's link
+	 * for two seconds, in which beats and shards waited behind it. It packs
+	 * to a tenth in some ms. Short lists go as they are.
+	 */
+	PACK_FROM = 16 * 1024,
+	/* What a packed list may unpack to; a damaged size is not believed. */
+	UNPACKED_MAX = 64 * 1024 * 1024,
+};
+
 static ProtobufCBinaryData to_bytes(struct str s)
 {
 	return (ProtobufCBinaryData){ s.len, (uint8_t *)s.ptr };
@@ -15,12 +28,39 @@
 	return str_dup(pool, (struct str){ (const char *)data.data, data.len });
 }
 
+static void add_items(const Wire__Items *wire, struct buf *out)
+{
+	size_t len = wire__items__get_packed_size(wire);
+
+	buf_reserve(out, len + 1);
+	wire__items__pack(wire, (uint8_t *)out->ptr + out->len);
+	out->len += len;
+}
+
+/* Return: false when it does not get shorter, or there is no memory. */
+static bool add_packed(struct str plain, struct buf *out)
+{
+	Wire__Items wire = WIRE__ITEMS__INIT;
+	uLongf len = compressBound(plain.len);
+	Bytef *bytes = xcalloc(1, len);
+	bool shorter = compress2(bytes, &len, (const Bytef *)plain.ptr,
+				 plain.len, Z_BEST_SPEED) == Z_OK &&
+		       len < plain.len;
+
+	wire.packed = (ProtobufCBinaryData){ len, bytes };
+	wire.size = plain.len;
+	if (shorter)
+		add_items(&wire, out);
+	free(bytes);
+	return shorter;
+}
+
 void parcel_items(const struct store_item *items, size_t count, struct buf *out)
 {
 	Wire__Items wire = WIRE__ITEMS__INIT;
 	Wire__Item *list = xcalloc(count + 1, sizeof(*list));
 	Wire__Item **ptrs = xcalloc(count + 1, sizeof(*ptrs));
-	size_t len;
+	struct buf plain = { 0 };
 
 	for (size_t i = 0; i < count; i++) {
 		wire__item__init(&list[i]);
@@ -32,19 +72,48 @@
 	}
 	wire.n_items = count;
 	wire.items = ptrs;
-	len = wire__items__get_packed_size(&wire);
-	buf_reserve(out, len + 1);
-	wire__items__pack(&wire, (uint8_t *)out->ptr + out->len);
-	out->len += len;
+	add_items(&wire, &plain);
+	if (plain.len < PACK_FROM || !add_packed(buf_str(&plain), out))
+		buf_str_add(out, buf_str(&plain));
+	buf_free(&plain);
 	free(ptrs);
 	free(list);
 }
 
-int parcel_open_items(struct str body, apr_pool_t *pool,
-		      struct store_item **items, size_t *count)
+/* Return: the list in @packed, or NULL. */
+static Wire__Items *unpack(ProtobufCBinaryData packed, uint64_t size)
+{
+	uLongf len = size;
+	Wire__Items *wire = NULL;
+	Bytef *bytes;
+
+	if (!size || size > UNPACKED_MAX)
+		return NULL;
+	bytes = xcalloc(1, size);
+	if (uncompress(bytes, &len, packed.data, packed.len) == Z_OK &&
+	    len == size)
+		wire = wire__items__unpack(NULL, len, bytes);
+	free(bytes);
+	return wire;
+}
+
+static Wire__Items *open_items(struct str body)
 {
 	Wire__Items *wire =
 		wire__items__unpack(NULL, body.len, (const uint8_t *)body.ptr);
+	Wire__Items *plain;
+
+	if (!wire || !wire->packed.len)
+		return wire;
+	plain = unpack(wire->packed, wire->size);
+	wire__items__free_unpacked(wire, NULL);
+	return plain;
+}
+
+int parcel_open_items(struct str body, apr_pool_t *pool,
+		      struct store_item **items, size_t *count)
+{
+	Wire__Items *wire = open_items(body);
 
 	*count = 0;
 	if (!wire)
--- a/parcel.h
+++ b/parcel.h
@@ -30,6 +30,7 @@
 	uint64_t version;
 };
 
+/** parcel_items() - append @items; a long list is packed. */
 void parcel_items(const struct store_item *items, size_t count,
 		  struct buf *out);
 /** parcel_open_items() - strings live in @pool; ERR_FRAME when it is none. */
--- a/tests/check_config.c
+++ b/tests/check_config.c
@@ -20,6 +20,11 @@
 enum {
 	/* What the store takes as one value, in bytes. */
 	VALUE_MAX = 1024 * 1024,
+	/*
+	 * A node tells four others. On a link of 20 Mbit/s that has half a
+	 * second for it, two steps down the tree are taken within one.
+	 */
+	FRAME_MAX = 20 * 1000 * 1000 / 8 / 2 / 4,
 };
 
 static apr_pool_t *pool;
@@ -106,6 +111,7 @@
 	directory_pack(&from->dir, 0, &body);
 	msg.body = buf_str(&body);
 	frame_encode(&frame, &bytes);
+	ck_assert_uint_le(bytes.len, FRAME_MAX);
 	ck_assert_int_eq(frame_decode(buf_str(&bytes), &got, &err),
 			 (int)bytes.len);
 	ck_assert_int_eq(
@@ -160,6 +166,44 @@
 }
 END_TEST
 
+/** struct damage - what becomes of one byte of a packed list */
+struct damage {
+	int at; /* from the front, or from the end if below 0 */
+	int cut; /* bytes left out at the end */
+};
+
+static const struct damage damages[] = {
+	{ 3, 0 },  { 9, 0 }, { 200, 0 }, { -8, 0 },
+	{ -3, 0 }, { 0, 1 }, { 0, 900 },
+};
+
+/* A list that came damaged is refused whole: half of it looks like all. */
+START_TEST(test_damaged_list_is_refused)
+{
+	const struct damage *damage = &damages[_i];
+	struct reading *reading = reading_create();
+	struct buf body = { 0 };
+	struct store_item *items;
+	size_t count;
+
+	publish(reading, config_text(1, 1400, ""), 1);
+	directory_pack(&reading->dir, 0, &body);
+	ck_assert_int_eq(
+		parcel_open_items(buf_str(&body), pool, &items, &count), 0);
+	ck_assert_uint_eq(count, 1);
+	if (damage->at)
+		body.ptr[damage->at > 0 ? (size_t)damage->at
+					: body.len - (size_t)-damage->at] ^= 85;
+	body.len -= (size_t)damage->cut;
+	ck_assert_int_eq(
+		parcel_open_items(buf_str(&body), pool, &items, &count),
+		ERR_FRAME);
+	ck_assert_uint_eq(count, 0);
+	buf_free(&body);
+	reading_destroy(reading);
+}
+END_TEST
+
 #define COUNT(table) ((int)(sizeof(table) / sizeof(*(table))))
 
 static void add(TCase *tcase)
@@ -168,6 +212,8 @@
 	tcase_add_loop_test(tcase, test_published_configuration_is_in_force, 0,
 			    COUNT(route_counts));
 	tcase_add_test(tcase, test_refused_configuration_is_seen);
+	tcase_add_loop_test(tcase, test_damaged_list_is_refused, 0,
+			    COUNT(damages));
 }
 
 int main(void)
--- a/wire.pb-c.c
+++ b/wire.pb-c.c
@@ -800,7 +800,7 @@
   (ProtobufCMessageInit) wire__item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__items__field_descriptors[1] =
+static const ProtobufCFieldDescriptor wire__items__field_descriptors[3] =
 {
   {
     "items",
@@ -814,14 +814,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "packed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Items, packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Items, size),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__items__field_indices_by_name[] = {
   0,   /* field[0] = items */
+  1,   /* field[1] = packed */
+  2,   /* field[2] = size */
 };
 static const ProtobufCIntRange wire__items__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wire__items__descriptor =
 {
@@ -831,7 +857,7 @@
   "Wire__Items",
   "wire",
   sizeof(Wire__Items),
-  1,
+  3,
   wire__items__field_descriptors,
   wire__items__field_indices_by_name,
   1,  wire__items__number_ranges,
--- a/wire.pb-c.h
+++ b/wire.pb-c.h
@@ -130,10 +130,18 @@
   ProtobufCMessage base;
   size_t n_items;
   Wire__Item **items;
+  /*
+   * in place of items: another Items, by zlib
+   */
+  ProtobufCBinaryData packed;
+  /*
+   * of that one before it was packed, bytes
+   */
+  uint64_t size;
 };
 #define WIRE__ITEMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__items__descriptor) \
-    , 0,NULL }
+    , 0,NULL, {0,NULL}, 0 }
 
 
 /*
