A store reply that is too large leads to a read of the keys, not to the same call

Callers would see: a node, and all that it tells, stays at an old version until the store forgets its history. A watch brings every version since; a reader that was cut off or held up for some seconds while a configuration of 1 MiB was changed three times gets over 4 MiB, which was refused by a bound of our own, and asked for the same again, with a pause of 0.4 s. The bound did not follow the largest value that the platform states either: with values of 4 MiB no page could be read. Ruled out: a larger bound alone: the number of versions has none. Change: a reply that came whole and cannot be taken sets off a read of all keys, as lost history does. Bound of the store's replies: 4 MiB and twice the largest value (max_value_bytes of the settings).

--- a/dialect.h
+++ b/dialect.h
@@ -22,6 +22,7 @@
  * @callers: "ip:port" for callers
  * @ready: "ip:port" where readiness is asked for
  * @store: "ip:port" of the platform's store
+ * @store_value_max: bytes of the largest value that the store takes
  * @peer_port: for the connections between nodes, the same on all VMs
  * @seeds: IP numbers of VMs that may know others; may be stale
  * @core: share of a processor core
@@ -42,6 +43,7 @@
 	struct str callers;
 	struct str ready;
 	struct str store;
+	size_t store_value_max;
 	uint16_t peer_port;
 	struct str seeds[SEEDS_MAX];
 	size_t nseeds;
--- a/edge.c
+++ b/edge.c
@@ -23,6 +23,10 @@
 	SETTINGS_MAX = 256 * 1024,
 	/* Until the configuration in force says what callers may send. */
 	BODY_MAX = 256 * 1024,
+	/* Of a page of the store beside its largest value. */
+	PAGE_MAX = 4 * 1024 * 1024,
+	/* A value takes up to this many times its size on the wire. */
+	VALUE_COST = 2,
 	/*
 	 * A target that is up accepts within a few ms; one without power never.
 	 * Nothing has been sent by then, so another one may have the request.
@@ -113,6 +117,8 @@
 	else
 		store.why = reply->status == 429 ? "too many calls"
 						 : "it serves none now";
+	store.unusable = reply->result == FETCH_MALFORMED ||
+			 (reply->status == 200 && store.why);
 	store.lost_history = reply->result == FETCH_OK && reply->status == 410;
 	store.ok = !store.why;
 	feed(edge, (struct flow_event){ .type = FLOW_STORE, .store = &store });
@@ -162,6 +168,8 @@
 	struct upstream_request request = {
 		.id = store_bit | ++edge->store_id,
 		.addr = edge->settings.store,
+		.reply_max =
+			PAGE_MAX + VALUE_COST * edge->settings.store_value_max,
 		.connect_us = fx->timeout_us,
 		.timeout_us = fx->timeout_us,
 		.pause_us = fx->pause_us,
--- a/flow.h
+++ b/flow.h
@@ -74,12 +74,15 @@
  * struct flow_store - what came of a call to the store
  * @ok: @reply holds what the store said
  * @why: what it failed of, for the log; unused when @ok
+ * @unusable: the whole reply came and cannot be taken, being too large or no
+ *            such reply; the same call would bring it again
  * @lost_history: the store no longer has the changes that were asked for
  */
 struct flow_store {
 	enum store_call call;
 	bool ok;
 	const char *why;
+	bool unusable;
 	bool lost_history;
 	const struct store_reply *reply;
 };
--- a/reader.c
+++ b/reader.c
@@ -164,12 +164,17 @@
 	call_range(reader);
 }
 
+static void read_anew(struct reader *reader)
+{
+	reader->need_range = true;
+	reader->dir->told = false;
+}
+
 void reader_reply(struct reader *reader, const struct flow_store *reply,
 		  int64_t now)
 {
 	if (reply->lost_history) {
-		reader->need_range = true;
-		reader->dir->told = false;
+		read_anew(reader);
 		reader->state = READER_IDLE;
 		reader->next_at = now;
 		note_belief(reader->dir->notes, now, "store history lost",
@@ -181,6 +186,13 @@
 		/* A page of a read that broke off may be of another time. */
 		if (reply->call == STORE_RANGE)
 			reader->need_range = true;
+		/*
+		 * Several versions of a large configuration may not fit in one
+		 * reply. Asked for again they never would, and the node would
+		 * stay at the old one; the keys hold only the newest.
+		 */
+		if (reply->unusable)
+			read_anew(reader);
 		failed(reader, reply->why, now);
 		return;
 	}
--- a/tests/check_config.c
+++ b/tests/check_config.c
@@ -14,6 +14,7 @@
 #include "../directory.h"
 #include "../parcel.h"
 #include "../platform/platform.h"
+#include "../reader.h"
 #include "../wire.h"
 #include "suite.h"
 
@@ -145,6 +146,71 @@
 }
 END_TEST
 
+/* The call that the reader makes next, a second later. */
+static struct flow_effect next_call(struct reader *reader, int64_t *now)
+{
+	reader->fx->count = 0;
+	*now += 1000000;
+	reader_tick(reader, *now);
+	for (size_t i = 0; i < reader->fx->count; i++)
+		if (reader->fx->list[i].type == FLOW_READ)
+			return reader->fx->list[i];
+	ck_abort_msg("no call to the store");
+}
+
+static void page(struct reader *reader, struct str text, uint64_t revision,
+		 int64_t now)
+{
+	struct store_item item = { .key = STR("op/config"),
+				   .value = text,
+				   .revision = revision };
+	struct store_reply reply = { .items = &item,
+				     .count = text.len > 0,
+				     .revision = revision };
+	struct flow_store store = { .call = STORE_RANGE,
+				    .ok = true,
+				    .reply = &reply };
+
+	reader_reply(reader, &store, now);
+}
+
+static void read_all(struct reader *reader, int version, int64_t *now)
+{
+	struct flow_effect call = next_call(reader, now);
+
+	ck_assert_int_eq(call.read, STORE_RANGE);
+	page(reader, config_text(version, 1, ""), (uint64_t)version, *now);
+	page(reader, (struct str){ 0 }, (uint64_t)version, *now);
+}
+
+/*
+ * While a reader was cut off, a large configuration was published several
+ * times. All versions come in one reply, which is over what a node takes: asked
+ * again it is the same one, and the node stays at the old version. It reads the
+ * keys instead, which hold the newest only.
+ */
+START_TEST(test_changes_too_large)
+{
+	struct reading *reading = reading_create();
+	struct flow_store refused = { .call = STORE_WATCH,
+				      .unusable = true,
+				      .why = "reply is no HTTP" };
+	struct reader reader;
+	int64_t now = 1000000;
+
+	reader_init(&reader, &reading->dir, &reading->fx, now);
+	reader_active(&reader, true, now);
+	read_all(&reader, 1, &now);
+	ck_assert_int_eq(next_call(&reader, &now).read, STORE_WATCH);
+	reader_reply(&reader, &refused, now);
+	read_all(&reader, 2, &now);
+	ck_assert_uint_eq(reading->dir.catalog->version, 2);
+	ck_assert_int_eq(next_call(&reader, &now).read, STORE_WATCH);
+	reader_destroy(&reader);
+	reading_destroy(reading);
+}
+END_TEST
+
 /* What cannot be read is refused in sight of the operator. */
 START_TEST(test_refused_configuration_is_seen)
 {
@@ -211,6 +277,7 @@
 	tcase_add_checked_fixture(tcase, make_pool, drop_pool);
 	tcase_add_loop_test(tcase, test_published_configuration_is_in_force, 0,
 			    COUNT(route_counts));
+	tcase_add_test(tcase, test_changes_too_large);
 	tcase_add_test(tcase, test_refused_configuration_is_seen);
 	tcase_add_loop_test(tcase, test_damaged_list_is_refused, 0,
 			    COUNT(damages));
--- a/tests/check_platform.c
+++ b/tests/check_platform.c
@@ -53,6 +53,9 @@
 	{ "{" HEAD LISTEN STORE ",\"bounds\":{\"grace_s\":6.5}}", NULL },
 	{ "{" HEAD LISTEN STORE ",\"bootstrap\":true}", NULL },
 	{ "{" HEAD LISTEN STORE ",\"bootstrap\":1}", NULL },
+	{ "{" HEAD LISTEN
+	  "\"platform\":{\"addr\":\"1.1.1.1:3\",\"max_value_bytes\":5}}",
+	  NULL },
 	{ "{" HEAD LISTEN "\"platform\":{}}", "addr" },
 	{ "{" HEAD STORE "}", "front" },
 	{ "{" LISTEN STORE "}", "node_name" },
@@ -75,6 +78,8 @@
 	if (code)
 		return;
 	ck_assert_uint_eq(got.peer_port, 7380);
+	ck_assert_uint_eq(got.store_value_max,
+			  strstr(settings[_i].text, "max_value") ? 5 : 1048576);
 	ck_assert_int_eq(got.first_start, strstr(settings[_i].text,
 						 "\"bootstrap\":true") != NULL);
 }
--- a/tests/check_upstream.c
+++ b/tests/check_upstream.c
@@ -31,6 +31,7 @@
 	bool reused; /* the second request goes over the same connection */
 	const char *second_body;
 	bool same_id; /* as the first request */
+	size_t reply_max; /* bytes that are taken of the first reply */
 };
 
 #define REPLY(id, body) \
@@ -39,45 +40,49 @@
 
 static const struct script scripts[] = {
 	{ "whole", REPLY("r1", "one"), REPLY("r2", "two"), false, false,
-	  FETCH_OK, 200, "one", true, "two", false },
+	  FETCH_OK, 200, "one", true, "two", false, 0 },
 	{ "chunked",
 	  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	  "3\r\none\r\n0\r\n\r\n",
 	  REPLY("r2", "two"), false, false, FETCH_OK, 200, "one", true, "two",
-	  false },
+	  false, 0 },
 	{ "after an interim reply",
 	  "HTTP/1.1 100 Continue\r\n\r\n" REPLY("r1", "one"),
 	  REPLY("r2", "two"), false, false, FETCH_OK, 200, "one", true, "two",
-	  false },
+	  false, 0 },
 	{ "ends with its connection", "HTTP/1.1 200 OK\r\n\r\none",
 	  REPLY("r2", "two"), true, false, FETCH_OK, 200, "one", false, "two",
-	  false },
+	  false, 0 },
 	{ "ends with a reset", "HTTP/1.1 200 OK\r\n\r\none", REPLY("r2", "two"),
-	  false, true, FETCH_BROKEN, 0, "", false, "two", false },
+	  false, true, FETCH_BROKEN, 0, "", false, "two", false, 0 },
 	{ "cut short", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\none",
 	  REPLY("r2", "two"), true, false, FETCH_BROKEN, 0, "", false, "two",
-	  false },
+	  false, 0 },
 	{ "no reply, closed", "", REPLY("r2", "two"), true, false, FETCH_BROKEN,
-	  0, "", false, "two", false },
+	  0, "", false, "two", false, 0 },
 	{ "no HTTP", "HELO there\r\n\r\n", REPLY("r2", "two"), false, false,
-	  FETCH_MALFORMED, 0, "", false, "two", false },
+	  FETCH_MALFORMED, 0, "", false, "two", false, 0 },
 	{ "silent", "", REPLY("r2", "two"), false, false, FETCH_TIMEOUT, 0, "",
-	  false, "two", false },
+	  false, "two", false, 0 },
 	{ "announces its end",
 	  "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\none",
 	  REPLY("r2", "two"), false, false, FETCH_OK, 200, "one", false, "two",
-	  false },
+	  false, 0 },
 	{ "sent twice", REPLY("r1", "one") REPLY("r1", "one"),
 	  REPLY("r2", "two"), false, false, FETCH_OK, 200, "one", false, "two",
-	  false },
+	  false, 0 },
 	{ "sent again before the next", REPLY("r1", "one"),
 	  REPLY("r1", "one") REPLY("r2", "two"), false, false, FETCH_OK, 200,
-	  "one", true, "two", false },
+	  "one", true, "two", false, 0 },
 	{ "of another request first", REPLY("r0", "old") REPLY("r1", "one"),
 	  REPLY("r2", "two"), false, false, FETCH_OK, 200, "one", true, "two",
-	  false },
+	  false, 0 },
+	{ "as long as is taken", REPLY("r1", "one"), REPLY("r2", "two"), false,
+	  false, FETCH_OK, 200, "one", true, "two", false, 3 },
+	{ "longer than is taken", REPLY("r1", "one"), REPLY("r2", "two"), false,
+	  false, FETCH_MALFORMED, 0, "", false, "two", false, 2 },
 	{ "the same request again", REPLY("r1", "one"), REPLY("r1", "two"),
-	  false, false, FETCH_OK, 200, "one", false, "two", true },
+	  false, false, FETCH_OK, 200, "one", false, "two", true, 0 },
 };
 
 /** struct pieces - a reply that comes a byte at a time, and what becomes of it
@@ -303,6 +308,7 @@
 {
 	const struct script *script = &scripts[_i];
 	struct server server = { .script = script };
+	struct upstream_request request;
 	struct upstream *up;
 	apr_pool_t *pool;
 
@@ -313,7 +319,9 @@
 		loop_add(server.loop, server.fd, APR_POLLIN, on_conn, &server);
 	up = upstream_create(server.loop,
 			     (struct upstream_handler){ on_done, NULL });
-	ask(up, server.loop, server.addr, 1, STR("r1"));
+	request = request_of(server.addr, 1, STR("r1"));
+	request.reply_max = script->reply_max;
+	ask_for(up, server.loop, &request);
 	ck_assert_msg(outcomes[1].result == script->result, "%s: result %d",
 		      script->name, (int)outcomes[1].result);
 	ck_assert_int_eq(outcomes[1].status, script->status);
--- a/upstream.c
+++ b/upstream.c
@@ -13,6 +13,7 @@
 
 enum {
 	READ_SIZE = 32 * 1024,
+	/* Of a reply's body, unless the request says otherwise. */
 	REPLY_MAX = 4 * 1024 * 1024,
 	/*
 	 * A connection that takes no bytes for this long is dead: its peer has
@@ -69,6 +70,7 @@
 	struct buf echo_name;
 	struct buf echo;
 	bool no_body;
+	size_t reply_max;
 	struct buf out;
 	size_t sent;
 	struct buf text;
@@ -306,7 +308,7 @@
 {
 	struct conn *conn = parser->data;
 
-	if (conn->text.len + len > REPLY_MAX)
+	if (conn->text.len - conn->body_at + len > conn->reply_max)
 		return 1;
 	buf_add(&conn->text, at, len);
 	return 0;
@@ -547,6 +549,7 @@
 	}
 	conn->id = req->id;
 	conn->no_body = req->no_body;
+	conn->reply_max = req->reply_max ? req->reply_max : REPLY_MAX;
 	conn->out.len = 0;
 	conn->sent = 0;
 	conn->echo.len = 0;
--- a/upstream.h
+++ b/upstream.h
@@ -31,6 +31,7 @@
  *                    another value belongs to an earlier request and is
  *                    skipped. Not checked when @echo is empty or absent there
  * @no_body: the reply has no body whatever its head says
+ * @reply_max: bytes of a reply's body that are taken, 0 for the default
  * @connect_us, @timeout_us: until a connection stands, until the whole reply
  * @pause_us, @whole_us: where not 0, @timeout_us ends with the reply's first
  *                       bytes; from then on it may pause for @pause_us at a
@@ -44,6 +45,7 @@
 	struct str echo_name;
 	struct str echo;
 	bool no_body;
+	size_t reply_max;
 	int64_t connect_us;
 	int64_t timeout_us;
 	int64_t pause_us;
