Messages of one round go in frames that their reader takes

Callers would see: questions over shards that fail together, on either engine, when one node has over 4 MiB for another in a round. Each message was within its bounds, but all that one round had for a node went in one frame, and a frame over 4 MiB has its reader close the connection, with all that is on it. Ruled out: only a larger bound: the number of messages in a round has none. Change: a frame is closed at 1 MiB, a larger message has one of its own; frames up to 16 MiB are read, above anything that one message may hold. Bodies of over 16 MiB, should a configuration allow them, cannot be handed to another node; none is known.

--- a/peer.c
+++ b/peer.c
@@ -13,7 +13,13 @@
 enum {
 	BACKLOG = 256,
 	READ_SIZE = 64 * 1024,
-	OUT_MAX = 16 * 1024 * 1024,
+	/* Beyond this much unsent a node is too slow, and is told no more. */
+	OUT_MAX = 2 * WIRE_MAX,
+	/*
+	 * Messages share a frame up to this size; a larger one goes by itself.
+	 * A frame over WIRE_MAX would have its reader close the connection.
+	 */
+	FRAME_FULL = 1024 * 1024,
 	RETRY_US = 100000,
 	/*
 	 * A VM without power answers nothing. A connection that takes no more
@@ -30,6 +36,7 @@
 
 /**
  * struct link - connection to a node, opened by this one
+ * @queued_bytes: of the bodies of @queue
  * @listed: among peers.pending
  */
 struct link {
@@ -44,6 +51,7 @@
 	struct buf out;
 	struct msg *queue;
 	size_t queued;
+	size_t queued_bytes;
 	size_t cap;
 	uint64_t to;
 	bool listed;
@@ -214,14 +222,17 @@
 	else
 		link->peers->handler.lost(link->peers->handler.ctx, link->addr);
 	link->queued = 0;
+	link->queued_bytes = 0;
 }
 
 void peers_send(struct peers *peers, struct str addr, uint64_t incarnation,
 		const struct msg *msg)
 {
 	struct link *link = link_get(peers, addr);
+	size_t bytes = msg->name.len + msg->body.len + msg->text.len;
 
-	if (link->queued && link->to != incarnation)
+	if (link->queued && (link->to != incarnation ||
+			     link->queued_bytes + bytes > FRAME_FULL))
 		link_encode(link);
 	link->to = incarnation;
 	if (link->queued == link->cap) {
@@ -230,6 +241,7 @@
 			xrealloc(link->queue, link->cap * sizeof(struct msg));
 	}
 	link->queue[link->queued++] = *msg;
+	link->queued_bytes += bytes;
 	link_pending(link);
 }
 
--- a/tests/check_peer.c
+++ b/tests/check_peer.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,6 +21,9 @@
 	SOON_US = 800000,
 	DEAD_US = 300000,
 	STEP_US = 50000,
+	/* Bytes that one node tells another in one round, in all. */
+	ROUND_BYTES = 24 * 1024 * 1024,
+	ROUND_US = 2000000,
 };
 
 /** struct scene - a node, and a socket that stands for another one */
@@ -30,13 +34,17 @@
 	int fd;
 	int fillers[FILLERS];
 	char addr[32];
+	char own[32];
 	int lost;
+	int bad;
+	size_t came;
 };
 
 static void on_frame(void *ctx, const struct frame *frame)
 {
-	(void)ctx;
-	(void)frame;
+	struct scene *scene = ctx;
+
+	scene->came += frame->count;
 }
 
 static void on_lost(void *ctx, struct str addr)
@@ -49,8 +57,10 @@
 
 static void on_bad(void *ctx, const struct error *err)
 {
-	(void)ctx;
+	struct scene *scene = ctx;
+
 	(void)err;
+	scene->bad++;
 }
 
 static void on_round(void *ctx)
@@ -82,7 +92,6 @@
 
 static void begin(struct scene *scene)
 {
-	char own[32];
 	struct sockaddr_in sin = { .sin_family = AF_INET };
 	struct error err = { 0 };
 	socklen_t len = sizeof(sin);
@@ -90,9 +99,9 @@
 	*scene = (struct scene){ 0 };
 	apr_pool_create(&scene->pool, NULL);
 	scene->loop = loop_create(scene->pool);
-	free_addr(own, sizeof(own));
+	free_addr(scene->own, sizeof(scene->own));
 	scene->peers = peers_create(
-		scene->loop, str_of(own), 7,
+		scene->loop, str_of(scene->own), 7,
 		(struct peer_handler){ on_frame, on_lost, on_bad, scene },
 		&err);
 	ck_assert_ptr_nonnull(scene->peers);
@@ -184,8 +193,41 @@
 }
 END_TEST
 
+/* Bytes of a message; as many of them as make up a round. */
+static const int message_sizes[] = { 256 * 1024, 1024 * 1024, 8 * 1024 * 1024 };
+
+/*
+ * A node has much to tell another in one round: replies of targets, documents,
+ * requests with bodies. Each message is taken by itself; in one frame they were
+ * over what the other one reads, which closed the connection, and all was lost.
+ */
+START_TEST(test_much_in_one_round)
+{
+	size_t size = (size_t)message_sizes[_i];
+	size_t count = ROUND_BYTES / size;
+	char *bytes = calloc(1, size);
+	struct msg msg = { .kind = MSG_GOSSIP, .body = { bytes, size } };
+	struct scene scene;
+	int64_t until = loop_now() + ROUND_US;
+
+	begin(&scene);
+	for (size_t i = 0; i < count; i++)
+		peers_send(scene.peers, str_of(scene.own), 0, &msg);
+	while (scene.came < count && !scene.bad && loop_now() < until)
+		loop_step(scene.loop);
+	ck_assert_int_eq(scene.bad, 0);
+	ck_assert_int_eq(scene.lost, 0);
+	ck_assert_uint_eq(scene.came, count);
+	end(&scene);
+	free(bytes);
+}
+END_TEST
+
 static void add(TCase *tcase)
 {
+	tcase_add_loop_test(
+		tcase, test_much_in_one_round, 0,
+		(int)(sizeof(message_sizes) / sizeof(*message_sizes)));
 	tcase_add_test(tcase, test_other_comes_up);
 }
 
--- a/wire.h
+++ b/wire.h
@@ -13,7 +13,11 @@
 
 enum {
 	WIRE_HEADER = 4,
-	WIRE_MAX = 4 * 1024 * 1024,
+	/*
+	 * Of a frame. What a node is told in one message is bounded elsewhere,
+	 * by the platform and by operators: by far less than this.
+	 */
+	WIRE_MAX = 16 * 1024 * 1024,
 	WIRE_MAX_MSGS = 65536,
 };
 
