A number or a name in a configuration never keeps the whole of it from force

Ruled out: leaving out only that route: a request for it would be taken by a route with a shorter prefix, and run where it never should. What has no routes, no version, another type or leads nowhere is still refused, with its place. Change: names and lists as long as they come; the nearest number that can be used. The records that a route asks for are no longer limited, so their table grows as they come, where it was made for all at once.

--- a/json.c
+++ b/json.c
@@ -1,5 +1,6 @@
 #include "json.h"
 
+#include <math.h>
 #include <stdarg.h>
 #include <stdio.h>
 
@@ -124,6 +125,17 @@
 	return number;
 }
 
+double json_near(struct json_in *in, const char *place, json_t *obj,
+		 const char *key, double min, double max, double other)
+{
+	double number =
+		json_real_or(in, place, obj, key, -INFINITY, INFINITY, other);
+
+	if (number < min)
+		return min;
+	return number > max ? max : number;
+}
+
 static struct str text_value(struct json_in *in, const char *place,
 			     json_t *value, const char *key, size_t max)
 {
--- a/json.h
+++ b/json.h
@@ -34,6 +34,14 @@
 		    const char *key, int64_t min, int64_t max, int64_t other);
 double json_real_or(struct json_in *in, const char *place, json_t *obj,
 		    const char *key, double min, double max, double other);
+/**
+ * json_near() - a number that was judged elsewhere
+ *
+ * Return: the nearest of @min to @max, or @other when the field is absent; a
+ * field that is no number is a fault.
+ */
+double json_near(struct json_in *in, const char *place, json_t *obj,
+		 const char *key, double min, double max, double other);
 struct str json_text(struct json_in *in, const char *place, json_t *obj,
 		     const char *key, size_t max);
 /** json_list() - an array, or NULL after a fault. */
--- a/records.c
+++ b/records.c
@@ -1,10 +1,24 @@
 #include "records.h"
 
+enum {
+	/* Most questions want no more; a route may ask for any number. */
+	ROOM_FIRST = 64,
+};
+
+static void grow(struct records *records, size_t room)
+{
+	char *bytes = apr_palloc(records->pool, (room + 1) * RECORD_SIZE);
+
+	if (records->count)
+		memcpy(bytes, records->bytes, records->count * RECORD_SIZE);
+	records->bytes = bytes;
+	records->room = room;
+}
+
 void records_init(struct records *records, size_t cap, apr_pool_t *pool)
 {
-	records->bytes = apr_pcalloc(pool, (cap + 1) * RECORD_SIZE);
-	records->count = 0;
-	records->cap = cap;
+	*records = (struct records){ .pool = pool, .cap = cap };
+	grow(records, cap < ROOM_FIRST ? cap : ROOM_FIRST);
 }
 
 static char *at(const struct records *records, size_t i)
@@ -21,8 +35,11 @@
 		place--;
 	if (place == records->cap)
 		return;
-	if (records->count < records->cap)
+	if (records->count < records->cap) {
+		if (records->count == records->room)
+			grow(records, 2 * records->room);
 		records->count++;
+	}
 	moved = records->count - place - 1;
 	memmove(at(records, place + 1), at(records, place),
 		moved * RECORD_SIZE);
--- a/records.h
+++ b/records.h
@@ -14,11 +14,13 @@
 
 /**
  * struct records - the greatest @cap records seen, greatest first
- * @bytes: @cap x RECORD_SIZE, the first @count in use
+ * @bytes: @room x RECORD_SIZE, the first @count in use
  */
 struct records {
+	apr_pool_t *pool;
 	char *bytes;
 	size_t count;
+	size_t room;
 	size_t cap;
 };
 
--- a/tests/check_config.c
+++ b/tests/check_config.c
@@ -146,6 +146,59 @@
 }
 END_TEST
 
+/* What a route may say besides, all taken by the store. */
+static const char *const route_texts[] = {
+	",\"max_attempts\":1000",
+	",\"max_attempts\":0",
+	",\"priority\":100000",
+	",\"priority\":-1",
+	",\"goal_ms\":86400001",
+	",\"goal_ms\":0.5",
+	",\"goal_ms\":1e300",
+	",\"min_share\":1.01",
+	",\"min_share\":-0.5",
+	",\"gather\":[\"s\"],\"top_k\":20000",
+	",\"split\":[{\"service\":\"s\",\"weight\":1e12}]",
+	",\"idle\":{\"unknown\":[1]}",
+};
+
+/* A number of one route is beyond what this node can use: the rest counts. */
+START_TEST(test_odd_route_is_in_force)
+{
+	struct reading *reading = reading_create();
+
+	publish(reading, config_text(1, 1, ""), 1);
+	publish(reading, config_text(2, 3, route_texts[_i]), 2);
+	ck_assert_uint_eq(reading->dir.catalog->version, 2);
+	ck_assert_uint_eq(reading->dir.catalog->nroutes, 3);
+	reading_destroy(reading);
+}
+END_TEST
+
+/* Names are as long as operators like; the value bounds them. */
+START_TEST(test_long_names)
+{
+	struct reading *reading = reading_create();
+	struct buf text = { 0 };
+	struct str path;
+
+	buf_printf(&text,
+		   "{\"version\":2,\"services\":[],\"routes\":["
+		   "{\"name\":\"r\",\"host\":\"h\",\"service\":\"s\","
+		   "\"kind\":\"idempotent\",\"prefix\":\"/%0*d/\"}]}",
+		   4000, 7);
+	publish(reading, config_text(1, 1, ""), 1);
+	publish(reading, buf_str(&text), 2);
+	ck_assert_uint_eq(reading->dir.catalog->version, 2);
+	path = reading->dir.catalog->routes[0].prefix;
+	ck_assert_uint_eq(path.len, 4002);
+	ck_assert_ptr_nonnull(
+		catalog_route(reading->dir.catalog, STR("h"), path));
+	buf_free(&text);
+	reading_destroy(reading);
+}
+END_TEST
+
 /* The call that the reader makes next, a second later. */
 static struct flow_effect next_call(struct reader *reader, int64_t *now)
 {
@@ -277,6 +330,9 @@
 	tcase_add_checked_fixture(tcase, make_pool, drop_pool);
 	tcase_add_loop_test(tcase, test_published_configuration_is_in_force, 0,
 			    COUNT(route_counts));
+	tcase_add_loop_test(tcase, test_odd_route_is_in_force, 0,
+			    COUNT(route_texts));
+	tcase_add_test(tcase, test_long_names);
 	tcase_add_test(tcase, test_changes_too_large);
 	tcase_add_test(tcase, test_refused_configuration_is_seen);
 	tcase_add_loop_test(tcase, test_damaged_list_is_refused, 0,
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -45,7 +45,14 @@
 	const char *want;
 };
 
+#define TEN(letter) \
+	letter letter letter letter letter letter letter letter letter letter
+/* More than there is room for at first. */
+#define MANY(letter) TEN(TEN(letter))
+
 static const struct merge_case merge_cases[] = {
+	{ 1000, { MANY("a"), "b", MANY("c") }, MANY("c") "b" MANY("a") },
+	{ 101, { MANY("a"), "b", MANY("c") }, MANY("c") "b" },
 	{ 3, { "abc", "d", NULL }, "dcb" },
 	{ 3, { "cba", "abd", NULL }, "dcb" },
 	{ 4, { "aab", "ba", NULL }, "bbaa" },
