Lists of the product's own documents are as long as the document's size allows

The bounds also stood for the time of searches in lists, which grew with the square of their length. Ruled out: bounds on customers, targets and shards never applied first. Change: no counts; plans, domains and names are found by hash. The time for a read of a document (2 s and the wait) was looked at: it is enough for 1 MiB at 4.2 Mbit/s, and was left.

--- a/doc.c
+++ b/doc.c
@@ -7,13 +7,6 @@
 #include "json.h"
 
 enum {
-	MAX_CUSTOMERS = 100000,
-	MAX_PLANS = 1000,
-	MAX_DOMAINS = 64,
-	MAX_VMS = 4096,
-	MAX_TARGETS = 16384,
-	MAX_SNAPSHOTS = 8,
-	MAX_SHARDS = 32768,
 	MAX_SLOTS = 64,
 	MAX_CONNECTIONS = 4096,
 	MAX_MS = 600000,
@@ -67,38 +60,36 @@
 		json_fault(in, place, "soft_ms is over deadline_ms");
 }
 
-static struct plan *find_plan(struct lists *lists, struct str name,
-			      size_t count)
+static struct plan *find_plan(apr_hash_t *names, struct str name)
 {
-	for (size_t i = 0; i < count; i++)
-		if (str_eq(lists->plans[i].name, name))
-			return &lists->plans[i];
-	return NULL;
+	return apr_hash_get(names, name.ptr, (apr_ssize_t)name.len);
 }
 
 static void parse_allowances(struct json_in *in, struct lists *lists,
-			     json_t *doc)
+			     json_t *doc, apr_hash_t *names)
 {
-	json_t *list =
-		json_list(in, "allowances", doc, "allowances", MAX_PLANS);
+	json_t *list = json_list(in, "allowances", doc, "allowances", JSON_ANY);
 
 	lists->nplans = list ? json_array_size(list) : 0;
 	lists->plans = apr_pcalloc(lists->pool,
 				   (lists->nplans + 1) * sizeof(struct plan));
 	for (size_t i = 0; i < lists->nplans && !in->err.code; i++) {
+		struct plan *plan = &lists->plans[i];
 		char place[PLACE];
 
 		snprintf(place, sizeof(place), "allowances[%zu]", i);
 		parse_allowance(in, place, lists, json_array_get(list, i),
-				&lists->plans[i]);
-		if (find_plan(lists, lists->plans[i].name, i))
+				plan);
+		if (find_plan(names, plan->name))
 			json_fault(in, place, "plan \"%.*s\" stands twice",
-				   STR_ARG(lists->plans[i].name));
+				   STR_ARG(plan->name));
+		apr_hash_set(names, plan->name.ptr, (apr_ssize_t)plan->name.len,
+			     plan);
 	}
 }
 
 static void parse_customer(struct json_in *in, const char *place,
-			   struct lists *lists, json_t *obj)
+			   struct lists *lists, json_t *obj, apr_hash_t *names)
 {
 	static const char *const keys[] = { "customer", "plan", NULL };
 
@@ -111,7 +102,7 @@
 	if (in->err.code)
 		return;
 
-	struct plan *plan = find_plan(lists, name, lists->nplans);
+	struct plan *plan = find_plan(names, name);
 
 	if (!plan) {
 		json_fault(in, place, "no allowance for plan \"%.*s\"",
@@ -128,16 +119,17 @@
 }
 
 static void parse_customers(struct json_in *in, struct lists *lists,
-			    json_t *doc)
+			    json_t *doc, apr_hash_t *names)
 {
-	json_t *list = json_list(in, "plans", doc, "plans", MAX_CUSTOMERS);
+	json_t *list = json_list(in, "plans", doc, "plans", JSON_ANY);
 	size_t count = list ? json_array_size(list) : 0;
 
 	for (size_t i = 0; i < count && !in->err.code; i++) {
 		char place[PLACE];
 
 		snprintf(place, sizeof(place), "plans[%zu]", i);
-		parse_customer(in, place, lists, json_array_get(list, i));
+		parse_customer(in, place, lists, json_array_get(list, i),
+			       names);
 	}
 }
 
@@ -148,6 +140,7 @@
 	struct json_in in = { .file = "lists", .code = ERR_LIST };
 	json_t *doc = body.len > DOC_MAX ? NULL : json_parse(&in, body);
 	struct lists *lists = NULL;
+	apr_hash_t *names;
 	apr_pool_t *pool;
 
 	if (body.len > DOC_MAX)
@@ -161,8 +154,9 @@
 		json_keys(&in, "top", doc, keys);
 		lists->version = (uint64_t)json_int(&in, "top", doc, "version",
 						    1, INT64_MAX);
-		parse_allowances(&in, lists, doc);
-		parse_customers(&in, lists, doc);
+		names = hash_make(pool);
+		parse_allowances(&in, lists, doc, names);
+		parse_customers(&in, lists, doc, names);
 		json_decref(doc);
 	}
 	if (!in.err.code)
@@ -188,10 +182,7 @@
 
 struct domain *fleet_domain(const struct fleet *fleet, struct str name)
 {
-	for (size_t i = 0; i < fleet->ndomains; i++)
-		if (str_eq(fleet->domains[i].name, name))
-			return &fleet->domains[i];
-	return NULL;
+	return apr_hash_get(fleet->by_name, name.ptr, (apr_ssize_t)name.len);
 }
 
 /* "state" has one ordinary value and one that takes the thing out. */
@@ -211,13 +202,14 @@
 static void parse_domains(struct json_in *in, struct fleet *fleet, json_t *doc)
 {
 	static const char *const keys[] = { "name", "state", NULL };
-	json_t *list = json_list(in, "domains", doc, "domains", MAX_DOMAINS);
+	json_t *list = json_list(in, "domains", doc, "domains", JSON_ANY);
 	size_t count = list ? json_array_size(list) : 0;
 
 	fleet->domains =
 		apr_pcalloc(fleet->pool, (count + 1) * sizeof(struct domain));
 	for (size_t i = 0; i < count && !in->err.code; i++) {
 		json_t *obj = json_array_get(list, i);
+		struct domain *domain = &fleet->domains[i];
 		char place[PLACE];
 
 		snprintf(place, sizeof(place), "domains[%zu]", i);
@@ -229,9 +221,10 @@
 		if (fleet_domain(fleet, name))
 			json_fault(in, place, "\"%.*s\" stands twice",
 				   STR_ARG(name));
-		fleet->domains[i].name = str_dup(fleet->pool, name);
-		fleet->domains[i].out =
-			parse_state(in, place, obj, "in", "out");
+		domain->name = str_dup(fleet->pool, name);
+		domain->out = parse_state(in, place, obj, "in", "out");
+		apr_hash_set(fleet->by_name, domain->name.ptr,
+			     (apr_ssize_t)domain->name.len, domain);
 		fleet->ndomains = i + 1;
 	}
 }
@@ -274,7 +267,7 @@
 {
 	static const char *const keys[] = { "address", "domain", "state",
 					    NULL };
-	json_t *list = json_list(in, "vms", doc, "vms", MAX_VMS);
+	json_t *list = json_list(in, "vms", doc, "vms", JSON_ANY);
 	size_t count = list ? json_array_size(list) : 0;
 	apr_hash_t *seen = hash_make(fleet->pool);
 
@@ -302,7 +295,7 @@
 	static const char *const keys[] = { "name",  "address", "domain",
 					    "state", "slots",	"connections",
 					    NULL };
-	json_t *list = json_list(in, "targets", doc, "targets", MAX_TARGETS);
+	json_t *list = json_list(in, "targets", doc, "targets", JSON_ANY);
 	size_t count = list ? json_array_size(list) : 0;
 	apr_hash_t *addrs = hash_make(fleet->pool);
 
@@ -426,7 +419,7 @@
 	snap->version =
 		(uint64_t)json_int(in, place, obj, "version", 1, INT64_MAX);
 
-	json_t *list = json_list(in, place, obj, "shards", MAX_SHARDS);
+	json_t *list = json_list(in, place, obj, "shards", JSON_ANY);
 
 	snap->nshards = list ? json_array_size(list) : 0;
 	snap->shards = apr_pcalloc(fleet->pool,
@@ -445,8 +438,7 @@
 static void parse_snapshots(struct json_in *in, struct fleet *fleet,
 			    json_t *doc, apr_hash_t *names)
 {
-	json_t *list =
-		json_list(in, "snapshots", doc, "snapshots", MAX_SNAPSHOTS);
+	json_t *list = json_list(in, "snapshots", doc, "snapshots", JSON_ANY);
 	size_t count = list ? json_array_size(list) : 0;
 
 	fleet->nsnapshots = count;
@@ -481,6 +473,7 @@
 		fleet->pool = pool;
 		fleet->refs = 1;
 		fleet->hash = str_hash(body);
+		fleet->by_name = hash_make(pool);
 
 		apr_hash_t *names = hash_make(pool);
 
--- a/doc.h
+++ b/doc.h
@@ -10,7 +10,9 @@
  * "lists" holds the operators' two lists, plans and allowances. "fleet" holds
  * failure domains, VMs, targets and the snapshots' partition maps. Parsing
  * depends on the bytes alone, never on the node or on what was in force, so
- * every node accepts or refuses the same document alike.
+ * every node accepts or refuses the same document alike. Lists are as long as
+ * DOC_MAX allows: a bound below it would keep what the platform took from
+ * force.
  */
 
 enum doc_kind {
@@ -124,6 +126,7 @@
 	uint64_t hash;
 	struct domain *domains;
 	size_t ndomains;
+	apr_hash_t *by_name; /* of a failure domain -> struct domain */
 	struct fleet_vm *vms;
 	size_t nvms;
 	struct fleet_target *targets;
--- a/json.c
+++ b/json.c
@@ -5,7 +5,6 @@
 #include <stdio.h>
 
 enum {
-	MAX_STRINGS = 4096,
 	MAX_NAME = 64
 };
 
@@ -183,20 +182,21 @@
 struct str *json_strings(struct json_in *in, const char *place, json_t *obj,
 			 const char *key, apr_pool_t *pool, size_t *count)
 {
-	json_t *list = json_list(in, place, obj, key, MAX_STRINGS);
+	json_t *list = json_list(in, place, obj, key, JSON_ANY);
 	size_t n = list ? json_array_size(list) : 0;
 	struct str *out = apr_pcalloc(pool, (n + 1) * sizeof(*out));
+	apr_hash_t *seen = hash_make(pool);
 
 	*count = n;
 	for (size_t i = 0; i < n; i++) {
 		out[i] = text_value(in, place, json_array_get(list, i), key,
 				    MAX_NAME);
 		out[i] = str_dup(pool, out[i]);
-		for (size_t j = 0; j < i; j++)
-			if (str_eq(out[i], out[j]))
-				json_fault(in, place,
-					   "\"%s\" has \"%.*s\" twice", key,
-					   STR_ARG(out[i]));
+		if (apr_hash_get(seen, out[i].ptr, (apr_ssize_t)out[i].len))
+			json_fault(in, place, "\"%s\" has \"%.*s\" twice", key,
+				   STR_ARG(out[i]));
+		apr_hash_set(seen, out[i].ptr, (apr_ssize_t)out[i].len,
+			     &out[i]);
 	}
 	return out;
 }
--- a/json.h
+++ b/json.h
@@ -4,6 +4,9 @@
 
 #include "error.h"
 
+/** JSON_ANY - a list or text is bounded by its document's size alone. */
+#define JSON_ANY SIZE_MAX
+
 /**
  * struct json_in - a document under judgement
  * @file: name for messages
@@ -42,9 +45,10 @@
  */
 double json_near(struct json_in *in, const char *place, json_t *obj,
 		 const char *key, double min, double max, double other);
+/** json_text() - a string of 1 to @max bytes; JSON_ANY: as long as it is. */
 struct str json_text(struct json_in *in, const char *place, json_t *obj,
 		     const char *key, size_t max);
-/** json_list() - an array, or NULL after a fault. */
+/** json_list() - an array of up to @max items, or NULL after a fault. */
 json_t *json_list(struct json_in *in, const char *place, json_t *obj,
 		  const char *key, size_t max);
 /** json_strings() - array of unique strings, copied to @pool. */
--- a/tests/check_input.c
+++ b/tests/check_input.c
@@ -156,6 +156,82 @@
 }
 END_TEST
 
+/** struct large - a document that is within 1 MiB, and long in one list */
+struct large {
+	const char *head;
+	const char *item; /* with its number, twice at most */
+	int count;
+	const char *tail;
+	bool fleet;
+};
+
+#define LARGE_FLEET "{\"version\":1,\"domains\":["
+#define LARGE_VMS LARGE_FLEET "{\"name\":\"a\",\"state\":\"in\"}],\"vms\":["
+
+static const struct large larges[] = {
+	{ "{\"version\":1,\"plans\":[],\"allowances\":[",
+	  "{\"plan\":\"p%d\",\"indexes\":[],\"entries\":[],"
+	  "\"deadline_ms\":9}",
+	  12000, "]}", false },
+	{ "{\"version\":1,\"allowances\":[" PLAN "\"deadline_ms\":9}],"
+	  "\"plans\":[",
+	  "{\"customer\":\"c%d\",\"plan\":\"p\"}", 25000, "]}", false },
+	{ "{\"version\":1,\"plans\":[],\"allowances\":[{\"plan\":\"p\","
+	  "\"entries\":[],\"deadline_ms\":9,\"indexes\":[",
+	  "\"i%d\"", 100000, "]}]}", false },
+	{ LARGE_FLEET, "{\"name\":\"d%d\",\"state\":\"in\"}", 25000,
+	  "],\"vms\":[],\"targets\":[],\"snapshots\":[]}", true },
+	{ LARGE_VMS,
+	  "{\"address\":\"10.0.0.1:%d\",\"domain\":\"a\","
+	  "\"state\":\"live\"}",
+	  15000, "],\"targets\":[],\"snapshots\":[]}", true },
+	{ LARGE_VMS "],\"targets\":[",
+	  "{\"name\":\"t%d\",\"address\":\"10.0.0.1:%d\",\"domain\":\"a\","
+	  "\"state\":\"live\",\"slots\":2,\"connections\":25}",
+	  8000, "],\"snapshots\":[]}", true },
+	{ LARGE_VMS "],\"targets\":[],\"snapshots\":[",
+	  "{\"version\":1%07d,\"shards\":[]}", 20000, "]}", true },
+};
+
+static void write_large(const struct large *large, struct buf *text)
+{
+	buf_str_add(text, str_of(large->head));
+	for (int i = 0; i < large->count; i++) {
+		int number = large->count - i;
+
+		buf_str_add(text, i ? STR(",") : STR(""));
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wformat-nonliteral"
+		buf_printf(text, large->item, number, number);
+#pragma GCC diagnostic pop
+	}
+	buf_str_add(text, str_of(large->tail));
+	ck_assert_uint_le(text->len, DOC_MAX);
+}
+
+/*
+ * An operator publishes a document that the platform takes, long in one of its
+ * lists: no node put it in force, and the one before stayed.
+ */
+START_TEST(test_large_document)
+{
+	struct error err = { 0 };
+	struct buf text = { 0 };
+	struct fleet *fleet = NULL;
+	struct lists *parsed = NULL;
+
+	write_large(&larges[_i], &text);
+	if (larges[_i].fleet)
+		fleet = fleet_parse(buf_str(&text), &err);
+	else
+		parsed = lists_parse(buf_str(&text), &err);
+	ck_assert_msg(fleet || parsed, "%s", err.text);
+	buf_free(&text);
+	fleet_unref(fleet);
+	lists_free(parsed);
+}
+END_TEST
+
 #define WHO "\"customer\":\"c\",\"request_id\":\"r\""
 
 static const struct input asks[] = {
@@ -402,6 +478,7 @@
 	LOOP(test_settings, settings);
 	LOOP(test_lists, lists);
 	LOOP(test_fleet, fleets);
+	LOOP(test_large_document, larges);
 	LOOP(test_ask, asks);
 	LOOP(test_entry, entries);
 	LOOP(test_target_reply, replies);
