What comes in as a reply is read in a module of its own

Ruled out: moving the times out: they belong to the connections. Change: reply.c holds the parser, headers, the echo and the bound of the body; the tests of upstream share their set-up. No behaviour changes.

--- a/tests/check_upstream.c
+++ b/tests/check_upstream.c
@@ -114,7 +114,9 @@
 struct server {
 	const struct script *script;
 	const struct pieces *pieces;
+	apr_pool_t *pool;
 	struct loop *loop;
+	struct upstream *up;
 	int fd;
 	struct watch *watch;
 	struct peer_conn *conns;
@@ -202,10 +204,12 @@
 	struct server *server = ctx;
 	struct peer_conn *conn = server->conns;
 	const struct pieces *pieces = server->pieces;
-	int most = pieces->stop_after ? pieces->stop_after : pieces->count;
+	int most;
 
-	if (!conn || !conn->next_at || loop_now() < conn->next_at ||
-	    conn->sent == most)
+	if (!conn || !pieces || !conn->next_at || loop_now() < conn->next_at)
+		return;
+	most = pieces->stop_after ? pieces->stop_after : pieces->count;
+	if (conn->sent == most)
 		return;
 	conn->sent++;
 	conn->next_at += pieces->gap_us;
@@ -269,6 +273,39 @@
 	snprintf(out->body, sizeof(out->body), "%.*s", STR_ARG(reply->body));
 }
 
+/* A server as the case says, and a client of it. */
+static void begin(struct server *server)
+{
+	apr_pool_create(&server->pool, NULL);
+	server->loop = loop_create(server->pool);
+	listen_on_loopback(server);
+	server->watch =
+		loop_add(server->loop, server->fd, APR_POLLIN, on_conn, server);
+	loop_hook(server->loop,
+		  (struct loop_hook){ send_piece, piece_wait, server });
+	server->up = upstream_create(
+		server->loop, (struct upstream_handler){ on_done, NULL });
+}
+
+static void stop_listening(struct server *server)
+{
+	if (!server->watch)
+		return;
+	loop_del(server->watch);
+	close(server->fd);
+	server->watch = NULL;
+}
+
+static void finish(struct server *server)
+{
+	upstream_destroy(server->up);
+	loop_unhook(server->loop, server);
+	drop_all(server->conns);
+	stop_listening(server);
+	loop_destroy(server->loop);
+	apr_pool_destroy(server->pool);
+}
+
 static struct upstream_request request_of(const char *addr, uint64_t id,
 					  struct str echo)
 {
@@ -283,61 +320,41 @@
 	};
 }
 
-static void ask_for(struct upstream *up, struct loop *loop,
+static void ask_for(struct server *server,
 		    const struct upstream_request *request)
 {
 	int64_t until = loop_now() + WAIT_US;
 	struct outcome *out = &outcomes[request->id];
 
 	*out = (struct outcome){ 0 };
-	upstream_send(up, request);
+	upstream_send(server->up, request);
 	while (!out->done && loop_now() < until)
-		loop_step(loop);
+		loop_step(server->loop);
 	ck_assert(out->done);
 }
 
-static void ask(struct upstream *up, struct loop *loop, const char *addr,
-		uint64_t id, struct str echo)
-{
-	struct upstream_request request = request_of(addr, id, echo);
-
-	ask_for(up, loop, &request);
-}
-
 START_TEST(test_script)
 {
 	const struct script *script = &scripts[_i];
 	struct server server = { .script = script };
 	struct upstream_request request;
-	struct upstream *up;
-	apr_pool_t *pool;
 
-	apr_pool_create(&pool, NULL);
-	server.loop = loop_create(pool);
-	listen_on_loopback(&server);
-	server.watch =
-		loop_add(server.loop, server.fd, APR_POLLIN, on_conn, &server);
-	up = upstream_create(server.loop,
-			     (struct upstream_handler){ on_done, NULL });
+	begin(&server);
 	request = request_of(server.addr, 1, STR("r1"));
 	request.reply_max = script->reply_max;
-	ask_for(up, server.loop, &request);
+	ask_for(&server, &request);
 	ck_assert_msg(outcomes[1].result == script->result, "%s: result %d",
 		      script->name, (int)outcomes[1].result);
 	ck_assert_int_eq(outcomes[1].status, script->status);
 	ck_assert_str_eq(outcomes[1].body, script->body);
-	ask(up, server.loop, server.addr, 2,
-	    script->same_id ? STR("r1") : STR("r2"));
+	request = request_of(server.addr, 2,
+			     script->same_id ? STR("r1") : STR("r2"));
+	ask_for(&server, &request);
 	ck_assert_int_eq(outcomes[2].result, FETCH_OK);
 	ck_assert_str_eq(outcomes[2].body, script->second_body);
 	ck_assert_msg(outcomes[2].opened != script->reused, "%s: reuse",
 		      script->name);
-	upstream_destroy(up);
-	drop_all(server.conns);
-	loop_del(server.watch);
-	close(server.fd);
-	loop_destroy(server.loop);
-	apr_pool_destroy(pool);
+	finish(&server);
 }
 END_TEST
 
@@ -351,32 +368,16 @@
 	const struct pieces *pieces = &piece_cases[_i];
 	struct server server = { .pieces = pieces };
 	struct upstream_request request;
-	struct upstream *up;
-	apr_pool_t *pool;
 
-	apr_pool_create(&pool, NULL);
-	server.loop = loop_create(pool);
-	listen_on_loopback(&server);
-	server.watch =
-		loop_add(server.loop, server.fd, APR_POLLIN, on_conn, &server);
-	loop_hook(server.loop,
-		  (struct loop_hook){ send_piece, piece_wait, &server });
-	up = upstream_create(server.loop,
-			     (struct upstream_handler){ on_done, NULL });
+	begin(&server);
 	request = request_of(server.addr, 1, (struct str){ 0 });
 	if (pieces->may_take_long) {
 		request.pause_us = PAUSE_US;
 		request.whole_us = WHOLE_US;
 	}
-	ask_for(up, server.loop, &request);
+	ask_for(&server, &request);
 	ck_assert_int_eq(outcomes[1].result, pieces->result);
-	upstream_destroy(up);
-	loop_unhook(server.loop, &server);
-	drop_all(server.conns);
-	loop_del(server.watch);
-	close(server.fd);
-	loop_destroy(server.loop);
-	apr_pool_destroy(pool);
+	finish(&server);
 }
 END_TEST
 
@@ -384,20 +385,14 @@
 START_TEST(test_refused)
 {
 	struct server server = { 0 };
-	struct upstream *up;
-	apr_pool_t *pool;
+	struct upstream_request request;
 
-	apr_pool_create(&pool, NULL);
-	server.loop = loop_create(pool);
-	listen_on_loopback(&server);
-	close(server.fd);
-	up = upstream_create(server.loop,
-			     (struct upstream_handler){ on_done, NULL });
-	ask(up, server.loop, server.addr, 1, STR("r1"));
+	begin(&server);
+	stop_listening(&server);
+	request = request_of(server.addr, 1, STR("r1"));
+	ask_for(&server, &request);
 	ck_assert_int_eq(outcomes[1].result, FETCH_REFUSED);
-	upstream_destroy(up);
-	loop_destroy(server.loop);
-	apr_pool_destroy(pool);
+	finish(&server);
 }
 END_TEST
 
--- a/upstream.c
+++ b/upstream.c
@@ -5,8 +5,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <http_parser.h>
-
 #include "os.h"
 #include "timer.h"
 #include "xmalloc.h"
@@ -33,12 +31,6 @@
 	SITE_KEPT_US = 60000000,
 };
 
-/** struct span - a piece of conn.text, which may move while it grows */
-struct span {
-	size_t at;
-	size_t len;
-};
-
 enum conn_state {
 	CONN_OPENING,
 	CONN_IDLE,
@@ -47,13 +39,10 @@
 
 /**
  * struct conn - one connection
- * @id, @echo_name, @echo, @no_body: of the request at hand; id 0: none
+ * @id: of the request at hand, 0: none
  * @out, @sent: bytes of it, and how many of them have left
- * @text: header names and values, then the body, of the reply at hand
- * @skip: the reply at hand belongs to an earlier request
- * @done: the reply at hand is whole
+ * @reply: to it, as far as it has come
  * @fresh: no request has been answered on it
- * @leave: close it after this reply
  * @answer_by: the reply is given up then
  * @pause_us, @whole_by: each piece of it moves that on by so much, at most to
  *                       then; 0: it does not
@@ -65,24 +54,11 @@
 	enum conn_state state;
 	int fd;
 	struct watch *watch;
-	struct http_parser parser;
 	uint64_t id;
-	struct buf echo_name;
-	struct buf echo;
-	bool no_body;
-	size_t reply_max;
 	struct buf out;
 	size_t sent;
-	struct buf text;
-	struct span names[UPSTREAM_HEADERS_MAX];
-	struct span values[UPSTREAM_HEADERS_MAX];
-	size_t nheaders;
-	bool in_value;
-	size_t body_at;
-	bool skip;
-	bool done;
+	struct reply reply;
 	bool fresh;
-	bool leave;
 	int64_t idle_until;
 	int64_t connect_by;
 	int64_t answer_by;
@@ -109,28 +85,14 @@
 	int64_t swept_at;
 };
 
-static const http_parser_settings parser_hooks;
-
-struct str header_find(const struct header *headers, size_t count,
-		       struct str name)
-{
-	for (size_t i = 0; i < count; i++)
-		if (headers[i].name.len == name.len &&
-		    !strncasecmp(headers[i].name.ptr, name.ptr, name.len))
-			return headers[i].value;
-	return (struct str){ 0 };
-}
-
 /* Life of a connection. */
 
 static void conn_free(struct conn *conn)
 {
 	loop_del(conn->watch);
 	close(conn->fd);
-	buf_free(&conn->echo_name);
-	buf_free(&conn->echo);
 	buf_free(&conn->out);
-	buf_free(&conn->text);
+	reply_free(&conn->reply);
 	free(conn);
 }
 
@@ -164,11 +126,6 @@
 	return conn->sent ? FETCH_BROKEN : FETCH_REFUSED;
 }
 
-static struct str span_str(const struct conn *conn, struct span span)
-{
-	return (struct str){ conn->text.ptr + span.at, span.len };
-}
-
 /* Whole seconds of a "Keep-Alive: timeout=5" header, or 0. */
 static int64_t keep_alive_us(struct str value)
 {
@@ -185,46 +142,31 @@
 static void note_idle_time(struct conn *conn, const struct header *headers)
 {
 	struct str value =
-		header_find(headers, conn->nheaders, STR("Keep-Alive"));
+		header_find(headers, conn->reply.nheaders, STR("Keep-Alive"));
 	int64_t us = value.len ? keep_alive_us(value) : 0;
 
 	if (us)
 		conn->site->idle_us = us * IDLE_PART_NUM / IDLE_PART_DEN;
 }
 
-static void reset_reply(struct conn *conn)
-{
-	conn->text.len = 0;
-	conn->nheaders = 0;
-	conn->in_value = false;
-	conn->body_at = 0;
-	conn->skip = false;
-	conn->done = false;
-	http_parser_init(&conn->parser, HTTP_RESPONSE);
-	conn->parser.data = conn;
-}
-
 /* Hands the whole reply over, and keeps the connection if it is clean. */
 static void conn_answer(struct conn *conn, bool keep)
 {
 	struct upstream *up = conn->up;
-	struct header headers[UPSTREAM_HEADERS_MAX];
-	struct buf text = conn->text;
+	struct header headers[REPLY_HEADERS_MAX];
+	struct buf text = conn->reply.text;
+	size_t body_at = conn->reply.body_at;
 	uint64_t id = conn->id;
 	struct upstream_reply reply = {
 		.result = FETCH_OK,
-		.status = (int)conn->parser.status_code,
+		.status = (int)conn->reply.parser.status_code,
 		.headers = headers,
-		.nheaders = conn->nheaders,
-		.body = { text.ptr + conn->body_at, text.len - conn->body_at },
+		.nheaders = conn->reply.nheaders,
+		.body = { text.ptr + body_at, text.len - body_at },
 		.opened = conn->fresh,
 	};
 
-	for (size_t i = 0; i < conn->nheaders; i++)
-		headers[i] = (struct header){
-			span_str(conn, conn->names[i]),
-			span_str(conn, conn->values[i]),
-		};
+	reply_headers(&conn->reply, headers);
 	note_idle_time(conn, headers);
 	/* What is left of a long body must not precede the next request. */
 	if (conn->sent < conn->out.len)
@@ -232,11 +174,11 @@
 	apr_hash_set(up->busy, &conn->id, sizeof(conn->id), NULL);
 	conn->id = 0;
 	conn->fresh = false;
-	conn->text = (struct buf){ 0 };
+	conn->reply.text = (struct buf){ 0 };
 	if (keep) {
 		conn->state = CONN_IDLE;
 		conn->idle_until = loop_now() + conn->site->idle_us;
-		reset_reply(conn);
+		reply_reset(&conn->reply);
 	} else {
 		conn_close(conn);
 	}
@@ -244,101 +186,6 @@
 	buf_free(&text);
 }
 
-/* Parser. */
-
-static int on_header_field(http_parser *parser, const char *at, size_t len)
-{
-	struct conn *conn = parser->data;
-
-	if (conn->in_value || !conn->nheaders) {
-		if (conn->nheaders == UPSTREAM_HEADERS_MAX)
-			return 1;
-		conn->names[conn->nheaders++] =
-			(struct span){ conn->text.len, 0 };
-		conn->values[conn->nheaders - 1] = (struct span){ 0 };
-		conn->in_value = false;
-	}
-	conn->names[conn->nheaders - 1].len += len;
-	buf_add(&conn->text, at, len);
-	return 0;
-}
-
-static int on_header_value(http_parser *parser, const char *at, size_t len)
-{
-	struct conn *conn = parser->data;
-	struct span *value = &conn->values[conn->nheaders - 1];
-
-	if (!conn->in_value)
-		*value = (struct span){ conn->text.len, 0 };
-	conn->in_value = true;
-	value->len += len;
-	buf_add(&conn->text, at, len);
-	return 0;
-}
-
-/*
- * A target may send a second reply to an earlier request, early or late. It
- * stands where the reply to this one is expected; only its echo tells.
- */
-static bool is_foreign(struct conn *conn)
-{
-	for (size_t i = 0; i < conn->nheaders; i++) {
-		struct str name = span_str(conn, conn->names[i]);
-
-		if (name.len != conn->echo_name.len ||
-		    strncasecmp(name.ptr, conn->echo_name.ptr, name.len))
-			continue;
-		return conn->echo.len &&
-		       !str_eq(span_str(conn, conn->values[i]),
-			       buf_str(&conn->echo));
-	}
-	return false;
-}
-
-static int on_headers_complete(http_parser *parser)
-{
-	struct conn *conn = parser->data;
-
-	conn->body_at = conn->text.len;
-	conn->skip = is_foreign(conn);
-	return conn->no_body ? 1 : 0;
-}
-
-static int on_body(http_parser *parser, const char *at, size_t len)
-{
-	struct conn *conn = parser->data;
-
-	if (conn->text.len - conn->body_at + len > conn->reply_max)
-		return 1;
-	buf_add(&conn->text, at, len);
-	return 0;
-}
-
-static int on_message_complete(http_parser *parser)
-{
-	struct conn *conn = parser->data;
-
-	conn->leave = !http_should_keep_alive(parser);
-	if (parser->status_code / 100 == 1 || conn->skip) {
-		conn->text.len = 0;
-		conn->nheaders = 0;
-		conn->in_value = false;
-		conn->skip = false;
-		return 0;
-	}
-	conn->done = true;
-	http_parser_pause(parser, 1);
-	return 0;
-}
-
-static const http_parser_settings parser_hooks = {
-	.on_header_field = on_header_field,
-	.on_header_value = on_header_value,
-	.on_headers_complete = on_headers_complete,
-	.on_body = on_body,
-	.on_message_complete = on_message_complete,
-};
-
 /* Sockets. */
 
 static void conn_write(struct conn *conn)
@@ -386,9 +233,8 @@
 static void conn_eof(struct conn *conn)
 {
 	if (conn->state == CONN_BUSY) {
-		/* A reply without a length ends with its connection. */
-		http_parser_execute(&conn->parser, &parser_hooks, NULL, 0);
-		if (conn->done) {
+		reply_eof(&conn->reply);
+		if (conn->reply.done) {
 			conn_answer(conn, false);
 			return;
 		}
@@ -409,7 +255,7 @@
 {
 	static char bytes[READ_SIZE];
 	ssize_t got = recv(conn->fd, bytes, sizeof(bytes), 0);
-	size_t used;
+	ssize_t used;
 
 	if (got < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
@@ -427,14 +273,11 @@
 		return;
 	}
 	expect_more(conn);
-	used = http_parser_execute(&conn->parser, &parser_hooks, bytes,
-				   (size_t)got);
-	if (conn->done) {
-		conn_answer(conn, !conn->leave && used >= (size_t)got);
-		return;
-	}
-	if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
+	used = reply_read(&conn->reply, bytes, (size_t)got);
+	if (used < 0)
 		conn_fail(conn, FETCH_MALFORMED);
+	else if (conn->reply.done)
+		conn_answer(conn, !conn->reply.last && used == got);
 }
 
 static void on_conn(void *ctx, int events)
@@ -473,7 +316,7 @@
 	conn->fd = fd;
 	conn->fresh = true;
 	conn->state = CONN_OPENING;
-	reset_reply(conn);
+	reply_reset(&conn->reply);
 	conn->watch = loop_add(up->loop, fd, APR_POLLOUT, on_conn, conn);
 	conn->next = site->conns;
 	site->conns = conn;
@@ -504,7 +347,7 @@
  */
 static bool had_same_id(const struct conn *conn, struct str echo)
 {
-	return echo.len && str_eq(buf_str(&conn->echo), echo);
+	return echo.len && str_eq(buf_str(&conn->reply.echo), echo);
 }
 
 /*
@@ -533,6 +376,16 @@
 	return best;
 }
 
+static void expect(struct reply *reply, const struct upstream_request *req)
+{
+	reply->no_body = req->no_body;
+	reply->body_max = req->reply_max ? req->reply_max : REPLY_MAX;
+	reply->echo.len = 0;
+	reply->echo_name.len = 0;
+	buf_str_add(&reply->echo, req->echo);
+	buf_str_add(&reply->echo_name, req->echo_name);
+}
+
 void upstream_send(struct upstream *up, const struct upstream_request *req)
 {
 	int64_t now = loop_now();
@@ -548,14 +401,9 @@
 		return;
 	}
 	conn->id = req->id;
-	conn->no_body = req->no_body;
-	conn->reply_max = req->reply_max ? req->reply_max : REPLY_MAX;
 	conn->out.len = 0;
 	conn->sent = 0;
-	conn->echo.len = 0;
-	conn->echo_name.len = 0;
-	buf_str_add(&conn->echo, req->echo);
-	buf_str_add(&conn->echo_name, req->echo_name);
+	expect(&conn->reply, req);
 	buf_str_add(&conn->out, req->head);
 	buf_str_add(&conn->out, req->body);
 	conn->connect_by = now + req->connect_us;
--- a/upstream.h
+++ b/upstream.h
@@ -2,6 +2,7 @@
 
 #include "event.h"
 #include "loop.h"
+#include "reply.h"
 
 /**
  * DOC: HTTP connections to targets and to the store
@@ -12,16 +13,6 @@
 
 struct upstream;
 
-enum {
-	UPSTREAM_HEADERS_MAX = 64,
-};
-
-/** struct header - one line of a head */
-struct header {
-	struct str name;
-	struct str value;
-};
-
 /**
  * struct upstream_request - what to send, and where
  * @id: unique; names the request in upstream_cancel() and the reply
@@ -81,6 +72,3 @@
 /** upstream_warm() - open connections until @count to @addr stand idle. */
 void upstream_warm(struct upstream *up, struct str addr, int count);
 void upstream_destroy(struct upstream *up);
-/** header_find() - value of the first header with this name, or empty. */
-struct str header_find(const struct header *headers, size_t count,
-		       struct str name);
