Names of gossip and of what is shared of the store follow the field

Change: send, relay, round, synced in gossip, share, reader and directory; the effect FLOW_PEER_SEND; the log says "follows a reader". batch.c keeps "handed on".

--- a/batch.c
+++ b/batch.c
@@ -31,7 +31,7 @@
 static struct flow_effect *tell(struct calls *calls, struct str addr,
 				uint64_t incarnation, uint32_t kind)
 {
-	struct flow_effect *fx = flow_add(calls->fx, FLOW_TELL);
+	struct flow_effect *fx = flow_add(calls->fx, FLOW_PEER_SEND);
 
 	fx->addr = str_dup(calls->fx->pool, addr);
 	fx->incarnation = incarnation;
--- a/directory.h
+++ b/directory.h
@@ -21,7 +21,7 @@
  *                        was read, whether it could be taken or not
  * @revision: of the store when it was last read whole or in order
  * @read_at: when the store, or a node that had just read it, was last heard
- * @told: other nodes have told all keys up to @revision
+ * @synced: other nodes have sent all keys up to @revision
  * @dialect: how keys and values are spelled
  * @nodes, @near: nodes that share bounds, and those in this failure domain; 0
  *                while others may not have been heard of yet
@@ -38,7 +38,7 @@
 	size_t seen_bytes;
 	uint64_t revision;
 	int64_t read_at;
-	bool told;
+	bool synced;
 	uint64_t round;
 	double cold_factor;
 	int cold_extra;
--- a/edge.c
+++ b/edge.c
@@ -307,7 +307,7 @@
 	case FLOW_READ:
 		do_read(edge, fx);
 		break;
-	case FLOW_TELL:
+	case FLOW_PEER_SEND:
 		peers_send(edge->peers, fx->addr, fx->incarnation, &fx->msg);
 		break;
 	case FLOW_RESET_PEER:
--- a/flow.h
+++ b/flow.h
@@ -113,7 +113,7 @@
 	FLOW_CANCEL, /* nobody waits for it any more: id */
 	FLOW_ANSWER, /* final answer to a caller */
 	FLOW_READ, /* a call to the store */
-	FLOW_TELL, /* msg to the node at addr */
+	FLOW_PEER_SEND, /* msg to the node at addr */
 	FLOW_RESET_PEER, /* the connection to addr is silent: open a new one */
 	FLOW_LOG, /* a line for the log: text */
 	FLOW_READY, /* on: whether callers may be sent here */
--- a/gossip.c
+++ b/gossip.c
@@ -20,17 +20,17 @@
 	 * round is work for a small VM, while a start is under way.
 	 */
 	NEWS_NODES = 100,
-	/* Seeds that do not answer are told again as soon, for this long. */
+	/* Seeds that do not answer are tried again as soon, for this long. */
 	SEEDS_WAIT_US = 3000000,
 	/*
-	 * Nodes of the own failure domain that are told all, each period: word
-	 * of a change has reached 25 of them after three periods.
+	 * Nodes of the own failure domain that are sent all, each period: a
+	 * change has reached 25 of them after three periods.
 	 */
 	NEAR_FANOUT = 3,
 	/*
 	 * Bytes between domains are paid for: all nodes of a domain together
-	 * tell this many nodes elsewhere each period, and only of their own
-	 * domain.
+	 * gossip to this many nodes elsewhere each period, and only of their
+	 * own domain.
 	 */
 	FAR_TOGETHER = 4,
 	FAR_FANOUT = 1,
@@ -222,9 +222,9 @@
 	free(list);
 }
 
-static void tell(struct gossip *gossip, struct str addr, struct str body)
+static void send_gossip(struct gossip *gossip, struct str addr, struct str body)
 {
-	struct flow_effect *fx = flow_add(gossip->fx, FLOW_TELL);
+	struct flow_effect *fx = flow_add(gossip->fx, FLOW_PEER_SEND);
 
 	fx->addr = str_dup(gossip->fx->pool, addr);
 	fx->msg.kind = MSG_GOSSIP;
@@ -255,7 +255,7 @@
 }
 
 /* Return: whether some seeds have not answered yet. */
-static bool tell_seeds(struct gossip *gossip, struct str body, int64_t now)
+static bool contact_seeds(struct gossip *gossip, struct str body, int64_t now)
 {
 	bool any = false;
 
@@ -267,15 +267,16 @@
 		if (ip == gossip->self.ip ||
 		    (member && gossip_is_live(member, now)))
 			continue;
-		tell(gossip, addr_text(gossip->fx->pool, ip, gossip->port),
-		     body);
+		send_gossip(gossip,
+			    addr_text(gossip->fx->pool, ip, gossip->port),
+			    body);
 		any = true;
 	}
 	return any;
 }
 
-/* Each node's part of what its domain tells elsewhere, by a draw. */
-static bool tells_far(struct gossip *gossip)
+/* Each node's part of its domain's gossip elsewhere, by a draw. */
+static bool gossips_far(struct gossip *gossip)
 {
 	return rng_below(gossip->rng, (uint64_t)gossip->near_live) <
 	       FAR_TOGETHER;
@@ -291,19 +292,20 @@
 	if (now < gossip->next_at)
 		return;
 	gossip->next_at = now + PERIOD_US;
-	gossip->told_at = now;
+	gossip->sent_at = now;
 	gossip->self.beat++;
 	count_live(gossip, now);
 	pack(gossip, true, now, &all);
 	count = pick(gossip, true, NEAR_FANOUT, now, picked);
 	for (size_t i = 0; i < count; i++)
-		tell(gossip, picked[i]->addr, buf_str(&all));
+		send_gossip(gossip, picked[i]->addr, buf_str(&all));
 	pack(gossip, false, now, &own);
-	count = tells_far(gossip) ? pick(gossip, false, FAR_FANOUT, now, picked)
-				  : 0;
+	count = gossips_far(gossip)
+			? pick(gossip, false, FAR_FANOUT, now, picked)
+			: 0;
 	for (size_t i = 0; i < count; i++)
-		tell(gossip, picked[i]->addr, buf_str(&own));
-	if (tell_seeds(gossip, buf_str(&own), now) &&
+		send_gossip(gossip, picked[i]->addr, buf_str(&own));
+	if (contact_seeds(gossip, buf_str(&own), now) &&
 	    now - gossip->started_at < SEEDS_WAIT_US)
 		gossip->next_at = now + NEWS_US;
 	buf_free(&all);
@@ -322,7 +324,7 @@
 		struct member_info *member = hash_value(it);
 
 		if (gossip_is_live(member, now))
-			tell(gossip, member->addr, buf_str(&body));
+			send_gossip(gossip, member->addr, buf_str(&body));
 	}
 	buf_free(&body);
 }
@@ -332,7 +334,7 @@
 /* Not sooner after the last round, however many nodes are new. */
 static void hasten(struct gossip *gossip, int64_t now)
 {
-	int64_t sooner = gossip->told_at + NEWS_US;
+	int64_t sooner = gossip->sent_at + NEWS_US;
 
 	if (gossip->counted > NEWS_NODES)
 		return;
@@ -379,13 +381,13 @@
 	member->heard_at = now;
 }
 
-/* A newcomer is told at once of all that are known. */
+/* A newcomer is sent all that are known at once. */
 static void greet(struct gossip *gossip, struct str from, int64_t now)
 {
 	struct buf body = { 0 };
 
 	pack(gossip, true, now, &body);
-	tell(gossip, from, buf_str(&body));
+	send_gossip(gossip, from, buf_str(&body));
 	buf_free(&body);
 }
 
--- a/gossip.h
+++ b/gossip.h
@@ -11,7 +11,7 @@
  * is taken to be down. Seeds are asked until somebody is known.
  */
 
-/** enum member_bits - state of a node, as it tells it */
+/** enum member_bits - state of a node, as it states it */
 enum member_bits {
 	MEMBER_SERVES = 1, /* has a configuration and takes requests */
 	MEMBER_LEAVES = 2, /* planned stop */
@@ -43,9 +43,9 @@
 
 /**
  * struct gossip - all that is known of nodes
- * @self: what this one tells of itself
+ * @self: what this one states of itself
  * @started_at: of the process
- * @told_at, @next_at: when others were told last, and are next
+ * @sent_at, @next_at: of the last round, and of the next
  * @near_live: live nodes of the failure domain, this one included
  * @counted, @near_counted: nodes that may hold a part of shared bounds, and
  *                          those of them in the failure domain
@@ -60,7 +60,7 @@
 	uint32_t seeds[SEEDS_MAX];
 	size_t nseeds;
 	int64_t started_at;
-	int64_t told_at;
+	int64_t sent_at;
 	int64_t next_at;
 	int near_live;
 	int counted;
@@ -74,9 +74,9 @@
 		 int64_t now);
 void gossip_destroy(struct gossip *gossip);
 void gossip_seeds(struct gossip *gossip, const struct vm_settings *settings);
-/** gossip_tick() - tell a few nodes, if it is time. */
+/** gossip_tick() - a round to a few nodes, if it is time. */
 void gossip_tick(struct gossip *gossip, int64_t now);
-/** gossip_announce() - tell all live nodes at once that the state changed. */
+/** gossip_announce() - send all live nodes the changed state at once. */
 void gossip_announce(struct gossip *gossip, int64_t now);
 /** gossip_msg() - members that another node knows. */
 void gossip_msg(struct gossip *gossip, struct str from, struct str body,
--- a/reader.c
+++ b/reader.c
@@ -89,16 +89,17 @@
 		reader->failures = 0;
 	if (!active && reader->active)
 		reader->idle_since = now;
-	/* Others have told all that a read of all keys would. */
+	/* Other nodes have sent all that a read of all keys would. */
 	if (reader->dir->revision)
-		reader->need_range = reader->need_range && !reader->dir->told;
+		reader->need_range = reader->need_range && !reader->dir->synced;
 	if (active != reader->active)
-		note_belief(reader->dir->notes, now,
-			    active ? "reads the store" : "is told by a reader",
-			    STR("store"),
-			    active ? "it is this node's part, or no word came"
-				   : "another node reads for this domain",
-			    reader->dir->revision);
+		note_belief(
+			reader->dir->notes, now,
+			active ? "reads the store" : "follows a reader",
+			STR("store"),
+			active ? "it is this node's part, or nothing was heard"
+			       : "another node reads for this domain",
+			reader->dir->revision);
 	reader->active = active;
 }
 
@@ -167,7 +168,7 @@
 static void read_anew(struct reader *reader)
 {
 	reader->need_range = true;
-	reader->dir->told = false;
+	reader->dir->synced = false;
 }
 
 void reader_reply(struct reader *reader, const struct flow_store *reply,
--- a/reader.h
+++ b/reader.h
@@ -25,7 +25,7 @@
  * @next_at: when the next call is due, if none is under way
  * @failures: in a row
  * @idle_since: when it last stopped reading
- * @active: this node reads; others tell it what they read when it does not
+ * @active: this node reads; else other nodes send it what they read
  * @whole: all keys have been read once
  */
 struct reader {
--- a/share.c
+++ b/share.c
@@ -4,8 +4,9 @@
 
 enum {
 	/*
-	 * Without word for this long a node reads by itself. A reader hears
-	 * from the store each 1.2 s at least; a drain must be known in 3 s.
+	 * A node that has heard nothing for this long reads by itself. A reader
+	 * hears from the store each 1.2 s at least; a drain must be known in 3
+	 * s.
 	 */
 	STALE_US = 1900000,
 	/*
@@ -31,10 +32,11 @@
 	ASK_US = 200000,
 	/* The store was lost so long ago that it does not matter any more. */
 	LOST_MATTERS_US = 10000000,
-	/* Nodes that one node tells; 90 are reached in three steps. */
+	/* Children of a node in the tree; 90 nodes are reached in three steps.
+	 */
 	TREE_WIDTH = 4,
 	PLACES_MAX = 1024,
-	/* Word is passed on if it is this much newer than what was known. */
+	/* Items are relayed if they are this much newer than what was known. */
 	NEWER_US = 50000,
 };
 
@@ -81,10 +83,10 @@
 	       now - share->dir->read_at >= STALE_US;
 }
 
-static void tell(struct share *share, struct str addr, uint32_t kind,
-		 uint64_t since, struct str body, bool pass_on, int64_t now)
+static void send_msg(struct share *share, struct str addr, uint32_t kind,
+		     uint64_t since, struct str body, bool pass_on, int64_t now)
 {
-	struct flow_effect *fx = flow_add(share->fx, FLOW_TELL);
+	struct flow_effect *fx = flow_add(share->fx, FLOW_PEER_SEND);
 	int64_t lost = now - roster_store_lost_at(share->dir->roster);
 
 	fx->addr = str_dup(share->fx->pool, addr);
@@ -145,8 +147,8 @@
 	    now < read_anyway_from(share))
 		return;
 	share->asked_at = now;
-	tell(share, best->addr, MSG_ITEMS_GET, 0, (struct str){ 0 }, false,
-	     now);
+	send_msg(share, best->addr, MSG_ITEMS_GET, 0, (struct str){ 0 }, false,
+		 now);
 }
 
 void share_tick(struct share *share, int64_t now)
@@ -165,7 +167,7 @@
 		ask_for_more(share, now);
 }
 
-/** struct place - a node in the order in which word is passed on */
+/** struct place - a node in the order of the tree */
 struct place {
 	uint32_t ip;
 	bool reads;
@@ -180,7 +182,7 @@
 	return x->ip < y->ip ? -1 : x->ip > y->ip;
 }
 
-/* Live nodes of the domain by address, the reader first. */
+/* Live nodes of the domain by address, the reader first: the tree's order. */
 static size_t list_places(const struct share *share, int64_t now,
 			  struct place *places)
 {
@@ -213,12 +215,12 @@
 }
 
 /*
- * The reader tells a few nodes, each of these a few more, so that no link has
+ * The reader sends to a few nodes, each of these to a few more, so no link has
  * to carry it for a whole domain: a hundred new targets are 30 kB a node, and
  * took a link of 200 Mbit/s for a third of a question's goal.
  */
-static void tell_below(struct share *share, uint64_t since, struct str body,
-		       int64_t now)
+static void relay(struct share *share, uint64_t since, struct str body,
+		  int64_t now)
 {
 	struct place places[PLACES_MAX];
 	size_t count = list_places(share, now, places);
@@ -230,8 +232,8 @@
 		size_t below = mine * TREE_WIDTH + i;
 
 		if (below < count && places[below].member)
-			tell(share, places[below].member->addr, MSG_ITEMS,
-			     since, body, true, now);
+			send_msg(share, places[below].member->addr, MSG_ITEMS,
+				 since, body, true, now);
 	}
 }
 
@@ -239,7 +241,7 @@
 {
 	if (!share->dir->revision || !gossip_reads(share->gossip, now))
 		return;
-	tell_below(share, share->pushed, pack(share, share->pushed), now);
+	relay(share, share->pushed, pack(share, share->pushed), now);
 	share->pushed = share->dir->revision;
 }
 
@@ -265,8 +267,8 @@
 	apr_pool_destroy(pool);
 	/* What changed between is missing: ask for it. */
 	if (msg->key > dir->revision) {
-		tell(share, from, MSG_ITEMS_GET, 0, (struct str){ 0 }, false,
-		     now);
+		send_msg(share, from, MSG_ITEMS_GET, 0, (struct str){ 0 },
+			 false, now);
 		return;
 	}
 	if (msg->version < dir->revision)
@@ -274,15 +276,15 @@
 	newer = msg->version > dir->revision ||
 		now - msg->fresh_us > dir->read_at + NEWER_US;
 	dir->revision = msg->version;
-	dir->told = true;
+	dir->synced = true;
 	if (now - msg->fresh_us > dir->read_at)
 		dir->read_at = now - msg->fresh_us;
 	dir->notes->revision = dir->revision;
 	dir->notes->read_at = dir->read_at;
 	/* Answers to a question of this node are for it alone. */
 	if (newer && msg->state)
-		tell_below(share, msg->key, str_dup(share->fx->pool, msg->body),
-			   now);
+		relay(share, msg->key, str_dup(share->fx->pool, msg->body),
+		      now);
 }
 
 void share_wanted(struct share *share, struct str from, const struct msg *msg,
@@ -290,8 +292,8 @@
 {
 	if (!share->dir->revision)
 		return;
-	tell(share, from, MSG_ITEMS, msg->version, pack(share, msg->version),
-	     false, now);
+	send_msg(share, from, MSG_ITEMS, msg->version,
+		 pack(share, msg->version), false, now);
 }
 
 int64_t share_wake_at(const struct share *share, int64_t now)
--- a/share.h
+++ b/share.h
@@ -4,9 +4,9 @@
 #include "reader.h"
 
 /**
- * DOC: what the store says, from node to node
+ * DOC: items of the store, from node to node
  *
- * One node of a failure domain reads the store and tells the others there, so
+ * One node of a failure domain reads the store for the others there, so
  * calls to the store grow with domains, not with nodes. A node that has not
  * heard for a while reads by itself; one that the store turns away learns from
  * any node that knows more.
@@ -14,7 +14,7 @@
 
 /**
  * struct share - the state of that
- * @pushed: revision that the others of the domain were told last
+ * @pushed: revision up to which the domain was sent items
  * @asked_at: when more was last asked for
  * @started_at: of the process
  * @first_start: all VMs are new
@@ -38,7 +38,7 @@
 void share_tick(struct share *share, int64_t now);
 /** share_read() - the store has answered this node. */
 void share_read(struct share *share, int64_t now);
-/** share_items() - another node tells what it read. */
+/** share_items() - items that another node has read. */
 void share_items(struct share *share, struct str from, const struct msg *msg,
 		 int64_t now);
 /** share_wanted() - another node asks for what it does not know. */
--- a/tests/stage.c
+++ b/tests/stage.c
@@ -395,7 +395,7 @@
 	for (size_t i = 0; i < n->fx.count; i++) {
 		struct flow_effect fx = n->fx.list[i];
 
-		if (fx.type == FLOW_TELL)
+		if (fx.type == FLOW_PEER_SEND)
 			do_tell(stage, node, &fx);
 		else if (fx.type == FLOW_SEND)
 			do_send(stage, node, &fx);
