--- a/peer.c
+++ b/peer.c
@@ -231,8 +231,9 @@
 	struct link *link = link_get(peers, addr);
 	size_t bytes = msg->name.len + msg->body.len + msg->text.len;
 
-	if (link->queued && (link->to != incarnation ||
-			     link->queued_bytes + bytes > FRAME_FULL))
+	if (link->queued &&
+	    (link->to != incarnation || link->queued == WIRE_MAX_MSGS ||
+	     link->queued_bytes + bytes > FRAME_FULL))
 		link_encode(link);
 	link->to = incarnation;
 	if (link->queued == link->cap) {
--- a/tests/check_peer.c
+++ b/tests/check_peer.c
@@ -21,8 +21,7 @@
 	SOON_US = 800000,
 	DEAD_US = 300000,
 	STEP_US = 50000,
-	/* Bytes that one node tells another in one round, in all. */
-	ROUND_BYTES = 24 * 1024 * 1024,
+	MIB = 1024 * 1024,
 	ROUND_US = 2000000,
 };
 
@@ -193,8 +192,18 @@
 }
 END_TEST
 
-/* Bytes of a message; as many of them as make up a round. */
-static const int message_sizes[] = { 256 * 1024, 1024 * 1024, 8 * 1024 * 1024 };
+/** struct round - what one node has for another at once */
+struct round {
+	size_t size; /* bytes of a message */
+	size_t count;
+};
+
+static const struct round rounds[] = {
+	{ 1, 70000 },
+	{ MIB / 4, 96 },
+	{ MIB, 24 },
+	{ 8 * MIB, 3 },
+};
 
 /*
  * A node has much to tell another in one round: replies of targets, documents,
@@ -203,8 +212,8 @@
  */
 START_TEST(test_much_in_one_round)
 {
-	size_t size = (size_t)message_sizes[_i];
-	size_t count = ROUND_BYTES / size;
+	size_t size = rounds[_i].size;
+	size_t count = rounds[_i].count;
 	char *bytes = calloc(1, size);
 	struct msg msg = { .kind = MSG_GOSSIP, .body = { bytes, size } };
 	struct scene scene;
@@ -225,9 +234,8 @@
 
 static void add(TCase *tcase)
 {
-	tcase_add_loop_test(
-		tcase, test_much_in_one_round, 0,
-		(int)(sizeof(message_sizes) / sizeof(*message_sizes)));
+	tcase_add_loop_test(tcase, test_much_in_one_round, 0,
+			    (int)(sizeof(rounds) / sizeof(*rounds)));
 	tcase_add_test(tcase, test_other_comes_up);
 }
 
