--- a/directory.c
+++ b/directory.c
@@ -143,6 +143,10 @@
 			 uint64_t revision, int64_t now)
 {
 	if (dir->catalog && dir->catalog->version >= catalog->version) {
+		note_belief(dir->notes, now, "configuration passed over",
+			    STR("all routes"),
+			    "its version is not above the one in force",
+			    catalog->version);
 		catalog_unref(catalog);
 		return;
 	}
@@ -173,7 +177,6 @@
 	struct error err = { 0 };
 	struct fact fact;
 	apr_pool_t *pool;
-
 	int code;
 
 	apr_pool_create(&pool, dir->pool);
--- a/event.c
+++ b/event.c
@@ -11,7 +11,7 @@
 		[FETCH_REFUSED] = "no connection",
 		[FETCH_BROKEN] = "connection broke",
 		[FETCH_TIMEOUT] = "no reply in time",
-		[FETCH_MALFORMED] = "reply is no HTTP",
+		[FETCH_MALFORMED] = "reply is no HTTP, or too large",
 	};
 
 	return texts[result];
