Sight: a request's fingerprint in the lines about it, a counter of broken connections

Change: content (method, host, path, query, body) and caller of each request, hashed, in final and tried lines, also on nodes that merge for another; the counter broken. SHA-1 of apr-util: with a hash that is no cryptographic one a caller could make requests of another's fingerprint. Ruled out: telling it from the id (each try has its own) or from the path alone (the log would carry what callers ask). No decision rests on it yet.

--- a/batch.c
+++ b/batch.c
@@ -106,6 +106,9 @@
 	fx->msg.attempt = (uint32_t)tried;
 	fx->msg.remaining_us = call->give_up_at - calls->now;
 	fx->msg.wait_us = calls->now - call->start + HOP_US;
+	fx->msg.hash = call->print.content[0];
+	fx->msg.hash2 = call->print.content[1];
+	fx->msg.key = call->print.caller;
 	fx->msg.body = str_dup(calls->fx->pool, buf_str(&body));
 	fx->msg.name =
 		pack_parts(calls, name_shards(call, parts, nparts), nparts);
@@ -387,6 +390,8 @@
 	request.time_left_us = remaining_us;
 	call = call_create(calls, asked_bit | ++calls->next_id, &request,
 			   catalog, route);
+	call->print =
+		(struct fingerprint){ { msg->hash, msg->hash2 }, msg->key };
 	call->start -= msg->wait_us + late_us;
 	call->give_up_at = calls->now + remaining_us;
 	call->asker = str_dup(call->pool, from);
--- a/call.h
+++ b/call.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "budget.h"
-#include "flow.h"
+#include "fingerprint.h"
 #include "latency.h"
 #include "line.h"
 #include "rng.h"
@@ -105,6 +105,7 @@
 /**
  * struct call - one request of a caller
  * @id: of the caller's request, or drawn here for another node's
+ * @print: tells whether it has come before
  * @asker: node that asked on behalf of a caller, empty when a caller did
  * @asker_id: its id there
  * @usual: how long replies of its route take
@@ -125,6 +126,7 @@
 	uint64_t id;
 	apr_pool_t *pool;
 	struct flow_request request;
+	struct fingerprint print;
 	struct catalog *catalog;
 	const struct route *route;
 	const struct call_kind *kind;
--- a/edge.c
+++ b/edge.c
@@ -217,6 +217,7 @@
 		.host = http_header(req, STR("Host")),
 		.request_id = http_header(req, names->request_id),
 		.body = req->body,
+		.caller = http_caller(req),
 		.time_left_us =
 			head_time_left(http_header(req, names->time_left)),
 	};
--- /dev/null
+++ b/fingerprint.c
@@ -0,0 +1,34 @@
+#include "fingerprint.h"
+
+#include <apr_sha1.h>
+
+static void add(struct apr_sha1_ctx_t *sha, struct str part)
+{
+	uint64_t len = part.len;
+
+	/* The length first, so that no part can run into the next. */
+	apr_sha1_update_binary(sha, (const unsigned char *)&len, sizeof(len));
+	apr_sha1_update_binary(sha, (const unsigned char *)part.ptr,
+			       (unsigned int)part.len);
+}
+
+/*
+ * A cryptographic hash: with any other a caller could make a request of the
+ * same fingerprint as somebody else's, and have that one taken for its own.
+ */
+struct fingerprint fingerprint_of(const struct flow_request *request)
+{
+	unsigned char digest[APR_SHA1_DIGESTSIZE];
+	struct fingerprint print;
+	struct apr_sha1_ctx_t sha;
+
+	apr_sha1_init(&sha);
+	add(&sha, request->method);
+	add(&sha, request->host);
+	add(&sha, request->uri);
+	add(&sha, request->body);
+	apr_sha1_final(digest, &sha);
+	memcpy(print.content, digest, sizeof(print.content));
+	print.caller = str_hash(request->caller);
+	return print;
+}
--- a/flow.h
+++ b/flow.h
@@ -27,6 +27,7 @@
  * struct flow_request - a caller's request, as it came
  * @uri: path and query
  * @headers: lines that a target gets unchanged, each with its line end
+ * @caller: address that it came from, without a port
  * @time_left_us: how long the caller waits, -1 when it does not say
  */
 struct flow_request {
@@ -36,6 +37,7 @@
 	struct str request_id;
 	struct str headers;
 	struct str body;
+	struct str caller;
 	int64_t time_left_us;
 };
 
--- a/http.c
+++ b/http.c
@@ -31,6 +31,7 @@
 	bool too_large;
 	int status;
 	struct buf uri;
+	char caller[INET_ADDRSTRLEN];
 	struct buf reply_headers;
 	struct buf reply;
 };
@@ -226,6 +227,20 @@
 	p->req.remaining_ms = remaining ? strtoll(remaining, NULL, 10) : -1;
 }
 
+struct str http_caller(struct http_request *req)
+{
+	struct pending *p = (struct pending *)req;
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		p->conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	const struct sockaddr_in *from =
+		info ? (const struct sockaddr_in *)info->client_addr : NULL;
+
+	if (!from || from->sin_family != AF_INET ||
+	    !inet_ntop(AF_INET, &from->sin_addr, p->caller, sizeof(p->caller)))
+		return (struct str){ 0 };
+	return str_of(p->caller);
+}
+
 struct str http_header(struct http_request *req, struct str name)
 {
 	struct pending *p = (struct pending *)req;
--- a/http.h
+++ b/http.h
@@ -53,6 +53,8 @@
 		  struct str body);
 /** http_header() - value of a request's header; empty when absent. */
 struct str http_header(struct http_request *req, struct str name);
+/** http_caller() - IP number that it came from; empty when it is not known. */
+struct str http_caller(struct http_request *req);
 /** http_headers() - append the header lines for which @keep says so. */
 void http_headers(struct http_request *req, bool (*keep)(struct str name),
 		  struct buf *out);
--- a/metric.c
+++ b/metric.c
@@ -21,6 +21,8 @@
 			       "hedges and retries that the shared bound forbade" },
 	[METRIC_NOT_RUN] = { "not_run", "requests that targets rejected" },
 	[METRIC_FAILED] = { "failed", "requests that targets failed" },
+	[METRIC_BROKEN] = { "broken",
+			    "connections that broke under a request" },
 	[METRIC_CUT] = { "cut", "requests cut as nobody waited for them" },
 	[METRIC_BATCHES] = { "batches", "batches of shards handed to nodes" },
 	[METRIC_BATCHES_BACK] = { "batches_back",
--- a/msg.h
+++ b/msg.h
@@ -23,10 +23,10 @@
  * asks for those after @version. ASK has another node merge a question, @body
  * is the request, @name the indexes of shards in the configuration @version,
  * @state whether far ones may be handed on, @attempt targets of each that were
- * tried; ASK_REPLY brings records in @body,
- * signatures in @text of the shards in @name, @state when it is the last. After
- * the first word of a node the asking one says GO: further targets may be
- * asked.
+ * tried, @hash, @hash2 and @key its fingerprint; ASK_REPLY brings records in
+ * @body, signatures in @text of the shards in @name, @state when it is the
+ * last. After the first word of a node the asking one says GO: further targets
+ * may be asked.
  */
 enum msg_kind {
 	MSG_NONE,
--- a/note.c
+++ b/note.c
@@ -79,6 +79,9 @@
 	buf_json_add(line, call->request.request_id);
 	buf_printf(line, ",\"route\":");
 	buf_json_add(line, call->route->name);
+	buf_printf(line, ",\"content\":\"%016llx\",\"caller\":\"%016llx\"",
+		   (unsigned long long)call->print.content[0],
+		   (unsigned long long)call->print.caller);
 	buf_printf(line, ",\"after_ms\":%.1f,\"left_ms\":%.1f",
 		   (double)(now - call->start) / 1000,
 		   (double)(call->give_up_at - now) / 1000);
@@ -208,6 +211,8 @@
 
 	metric_add(&notes->metrics,
 		   reply->not_run ? METRIC_NOT_RUN : METRIC_FAILED);
+	if (reply->result == FETCH_BROKEN)
+		metric_add(&notes->metrics, METRIC_BROKEN);
 	if (!admit(notes, now, NOTE_TRIED))
 		return;
 	begin(notes, &line, now, NOTE_TRIED);
--- a/tier.c
+++ b/tier.c
@@ -184,6 +184,7 @@
 	}
 	call = call_create(&tier->calls, event->id, request, tier->dir.catalog,
 			   route);
+	call->print = fingerprint_of(request);
 	call->kind = route->nshards ? &merge_kind : &forward_kind;
 	call->kind->begin(&tier->calls, call);
 }
