Test: a request that crashes its targets is to be stopped (fails)

What callers see: a request comes every 4.4 s at another node, under another id; each target that runs it ends. Others get 503 for seconds each time. Cause: not mended yet. The stage's targets can now crash under a request, as a stand-in, and come back after 1.2 to 1.8 s under a new id or the old one, with their entries lapsing 3.6 s after the crash.

--- a/tests/stage.c
+++ b/tests/stage.c
@@ -16,6 +16,12 @@
 	RECORDS = 3,
 	SETTLE_US = 10000000,
 	DRAIN_US = 3000000,
+	/* A target that crashed is back after this time, or up to half more. */
+	RETURN_US = 1200000,
+	/* Its entry goes after this time of silence. */
+	LAPSE_US = 3600000,
+	STABLE_US = 4000000,
+	STORE_KEYS = 2048,
 	OUT_US = 5000000,
 };
 
@@ -27,6 +33,8 @@
 	HAPPEN_LOST,
 	HAPPEN_STORE,
 	HAPPEN_ARRIVE,
+	HAPPEN_RETURN, /* of a target that crashed */
+	HAPPEN_LAPSE, /* of its entry: expected */
 };
 
 /** struct happen - one thing that will happen; strings on the heap */
@@ -42,6 +50,8 @@
 	struct flow_reply reply;
 	struct msg msg;
 	int target;
+	int call_id; /* of a reply whose target crashes with it */
+	bool crash;
 	int64_t sent_us;
 	enum store_call call;
 	uint64_t revision;
@@ -68,7 +78,7 @@
 };
 
 struct stage_store {
-	struct store_key keys[2 * STAGE_TARGETS];
+	struct store_key keys[STORE_KEYS];
 	int nkeys;
 };
 
@@ -171,19 +181,24 @@
 	char value[128];
 
 	snprintf(key, sizeof(key), "all/t/%s", t->id);
-	snprintf(value, sizeof(value), "%s %s %d %d", t->service, t->addr,
-		 t->domain, t->leaving);
+	snprintf(value, sizeof(value), "%s %s %d %d %d", t->service, t->addr,
+		 t->domain, t->leaving, t->starts + 1);
 	store_put(stage, key, value);
 }
 
-void stage_unpublish(struct stage *stage, int target)
+static void remove_entry(struct stage *stage, struct str id)
 {
 	char key[64];
 
-	snprintf(key, sizeof(key), "all/t/%s", stage->targets[target].id);
+	snprintf(key, sizeof(key), "all/t/%.*s", STR_ARG(id));
 	store_put(stage, key, NULL);
 }
 
+void stage_unpublish(struct stage *stage, int target)
+{
+	remove_entry(stage, str_of(stage->targets[target].id));
+}
+
 int stage_add_target(struct stage *stage, const char *service, int domain)
 {
 	int index = stage->ntargets++;
@@ -557,18 +572,74 @@
 	return (struct str){ bytes, (size_t)RECORDS * 16 };
 }
 
-static void reply_later(struct stage *stage, const struct happen *from,
-			int64_t after, struct flow_reply reply)
+static struct happen *reply_later(struct stage *stage,
+				  const struct happen *from, int64_t after,
+				  struct flow_reply reply)
 {
 	struct happen *happen;
 	int node = from->node;
 	uint64_t id = from->id;
 	uint64_t incarnation = from->incarnation;
+	int target = from->target;
 
 	happen = later(stage, after, HAPPEN_REPLY, node);
 	happen->id = id;
 	happen->incarnation = incarnation;
+	happen->target = target;
 	happen->reply = reply;
+	return happen;
+}
+
+/* All that it works on breaks with it. */
+static void crash(struct stage *stage, int target, int deadly)
+{
+	struct stage_target *t = &stage->targets[target];
+	struct stage_deadly *books = &stage->deadly[deadly];
+	struct happen *lapse;
+
+	if (!t->up)
+		return;
+	t->up = false;
+	if (++books->crashes == 3)
+		books->third_at = stage->now;
+	for (size_t i = 0; i < stage->queue->count; i++) {
+		struct happen *happen = &stage->queue->list[i];
+
+		if (happen->type != HAPPEN_REPLY || happen->target != target)
+			continue;
+		happen->reply.result = FETCH_BROKEN;
+		happen->when = stage->now + NEAR_US;
+	}
+	later(stage, RETURN_US + (int64_t)rng_below(&stage->rng, RETURN_US / 2),
+	      HAPPEN_RETURN, 0)
+		->target = target;
+	if (t->keeps_id)
+		return;
+	lapse = later(stage, LAPSE_US, HAPPEN_LAPSE, 0);
+	lapse->expected = str_keep(str_of(t->id));
+}
+
+static void come_back(struct stage *stage, int target)
+{
+	struct stage_target *t = &stage->targets[target];
+
+	t->starts++;
+	t->up = true;
+	memset(t->slot_free_at, 0, sizeof(t->slot_free_at));
+	if (!t->keeps_id)
+		snprintf(t->id, sizeof(t->id), "i%d.%d", target, t->starts);
+	stage_publish(stage, target);
+}
+
+static void note_late(struct stage *stage, struct stage_call *call)
+{
+	struct stage_deadly *books = &stage->deadly[call->deadly];
+
+	if (call->reached_late || !books->third_at ||
+	    stage->now - books->third_at <= STABLE_US)
+		return;
+	call->reached_late = true;
+	books->late++;
 }
 
 /* Return: when a request that takes @took ends; holds a slot until then. */
@@ -596,6 +667,7 @@
 				    .running = -1 };
 	struct stage_target *t;
 	int call_id = atoi(happen->request_id.ptr);
+	struct happen *end_it;
 	char signature[64];
 	int64_t took;
 
@@ -624,6 +696,14 @@
 	took = t->service_us / 2 +
 	       (int64_t)rng_below(&stage->rng, (uint64_t)t->service_us);
 	took = end_of_run(stage, t, took) - stage->now;
+	if (stage->calls[call_id - 1].deadly) {
+		note_late(stage, &stage->calls[call_id - 1]);
+		reply.result = FETCH_BROKEN;
+		end_it = reply_later(stage, happen, took, reply);
+		end_it->crash = true;
+		end_it->call_id = call_id;
+		return;
+	}
 	if (draw(stage) < t->lose) {
 		reply.result = FETCH_BROKEN;
 		reply_later(stage, happen, took, reply);
@@ -639,7 +719,7 @@
 
 static void on_store(struct stage *stage, const struct happen *happen)
 {
-	struct store_item items[2 * STAGE_TARGETS];
+	struct store_item items[STORE_KEYS];
 	struct store_reply reply = { .items = items,
 				     .revision = stage->revision };
 	struct flow_store store = { .call = happen->call,
@@ -672,15 +752,27 @@
 		on_arrive(stage, happen);
 		return;
 	}
+	if (happen->type == HAPPEN_RETURN) {
+		come_back(stage, happen->target);
+		return;
+	}
+	if (happen->type == HAPPEN_LAPSE) {
+		remove_entry(stage, happen->expected);
+		return;
+	}
 	if (!n->up)
 		return;
 	switch (happen->type) {
 	case HAPPEN_REPLY:
-		if (happen->id && happen->incarnation == n->incarnation)
-			feed(stage, happen->node,
-			     (struct flow_event){ .type = FLOW_REPLY,
-						  .id = happen->id,
-						  .reply = &happen->reply });
+		if (!happen->id || happen->incarnation != n->incarnation)
+			break;
+		if (happen->crash)
+			crash(stage, happen->target,
+			      stage->calls[happen->call_id - 1].deadly);
+		feed(stage, happen->node,
+		     (struct flow_event){ .type = FLOW_REPLY,
+					  .id = happen->id,
+					  .reply = &happen->reply });
 		break;
 	case HAPPEN_MSG:
 		if (happen->to_incarnation &&
@@ -705,6 +797,8 @@
 			on_store(stage, happen);
 		break;
 	case HAPPEN_ARRIVE:
+	case HAPPEN_RETURN:
+	case HAPPEN_LAPSE:
 		break;
 	}
 }
@@ -723,7 +817,7 @@
 	for (size_t i = 0; i < queue->count; i++) {
 		struct happen *happen = &queue->list[i];
 
-		if (happen->type != HAPPEN_ARRIVE &&
+		if (happen->type < HAPPEN_ARRIVE &&
 		    happen->when < frozen(stage, happen->node))
 			happen->when = frozen(stage, happen->node);
 		if (best == SIZE_MAX || happen->when < queue->list[best].when ||
@@ -801,26 +895,37 @@
 	stage_run(stage, 3000000);
 }
 
-int stage_call(struct stage *stage, int node, enum stage_kind kind)
+int stage_ask(struct stage *stage, int node, enum stage_kind kind,
+	      const struct stage_asked *asked)
 {
-	static const char *const uris[] = { "/all/x", "/strict/x", "/one/x",
-					    "/once/x" };
+	static const char *const paths[] = { "/all/", "/strict/", "/one/",
+					     "/once/" };
 	int index = stage->ncalls++;
 	char id[16];
+	char uri[64];
 	struct flow_request request = {
 		.method = kind == STAGE_ONCE ? STR("POST") : STR("GET"),
-		.uri = str_of(uris[kind]),
 		.host = STR("h"),
+		.caller = str_of(asked->caller),
 		.time_left_us = TIMEOUT_US,
 	};
 
 	snprintf(id, sizeof(id), "%d", index + 1);
+	snprintf(uri, sizeof(uri), "%s%s", paths[kind], asked->query);
 	request.request_id = str_of(id);
-	stage->calls[index] =
-		(struct stage_call){ .kind = kind, .start = stage->now };
+	request.uri = str_of(uri);
+	stage->calls[index] = (struct stage_call){ .kind = kind,
+						   .start = stage->now,
+						   .deadly = asked->deadly };
 	feed(stage, node,
 	     (struct flow_event){ .type = FLOW_REQUEST,
 				  .id = (uint64_t)index + 1,
 				  .request = &request });
 	return index;
 }
+
+int stage_call(struct stage *stage, int node, enum stage_kind kind)
+{
+	return stage_ask(stage, node, kind,
+			 &(struct stage_asked){ .query = "x" });
+}
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -18,6 +18,7 @@
 	STAGE_SHARDS = 12,
 	STAGE_DOMAINS = 3,
 	STAGE_SLOTS = 4,
+	STAGE_DEADLY = 4,
 };
 
 /** enum stage_kind - kinds of requests, one route each */
@@ -33,6 +34,8 @@
  * struct stage_target - a fake target; faults are set by the tests
  * @slots: requests that run at a time, others wait for their turn; 0: any
  * @slot_free_at: when each slot has done all that it was given
+ * @starts: times that it came back from a crash
+ * @keeps_id: it comes back under the id that it had
  */
 struct stage_target {
 	char id[24];
@@ -50,6 +53,32 @@
 	int arrivals;
 	int slots;
 	int64_t slot_free_at[STAGE_SLOTS];
+	int starts;
+	bool keeps_id;
+};
+
+/**
+ * struct stage_asked - what a caller asks, and who it is
+ * @query: end of the path
+ * @deadly: each target that runs it crashes; the number of the request in the
+ *          stage's books, 0 for a harmless one
+ */
+struct stage_asked {
+	const char *query;
+	const char *caller;
+	int deadly;
+};
+
+/**
+ * struct stage_deadly - books of a deadly request
+ * @crashes: targets that ended under it
+ * @third_at: when the third of them did
+ * @late: times that it was asked and reached targets over STAGE_STABLE_US later
+ */
+struct stage_deadly {
+	int crashes;
+	int64_t third_at;
+	int late;
 };
 
 /** struct stage_call - a caller's request, and what came of it */
@@ -69,6 +98,8 @@
 	/* Bits of the targets that a shard was asked at. */
 	uint64_t asked[2 * STAGE_SHARDS][STAGE_TARGETS / 64];
 	uint64_t version;
+	int deadly;
+	bool reached_late;
 };
 
 struct stage_node {
@@ -104,6 +135,7 @@
 	int64_t out_since[STAGE_DOMAINS];
 	int late_for_out;
 	int late_for_left;
+	struct stage_deadly deadly[STAGE_DEADLY];
 	int extra_sends;
 	int first_sends;
 	uint64_t store_calls;
@@ -130,6 +162,8 @@
 void stage_stop_node(struct stage *stage, int node);
 /** stage_call() - a caller asks @node now; returns the call's index. */
 int stage_call(struct stage *stage, int node, enum stage_kind kind);
+int stage_ask(struct stage *stage, int node, enum stage_kind kind,
+	      const struct stage_asked *asked);
 /** stage_run() - let @us pass. */
 void stage_run(struct stage *stage, int64_t us);
 /** stage_settle() - until all nodes are ready, at most ten seconds. */
--- a/tests/stage_dialect.c
+++ b/tests/stage_dialect.c
@@ -111,6 +111,7 @@
 	char addr[32];
 	int domain;
 	int leaving;
+	int born;
 
 	*out = (struct fact){ .kind = fake_kind(key) };
 	if (out->kind == FACT_CATALOG)
@@ -122,14 +123,15 @@
 		return 0;
 	out->target.id =
 		str_dup(pool, (struct str){ key.ptr + 6, key.len - 6 });
-	if (sscanf(value.ptr, "%31s %31s %d %d", service, addr, &domain,
-		   &leaving) != 4)
+	if (sscanf(value.ptr, "%31s %31s %d %d %d", service, addr, &domain,
+		   &leaving, &born) != 5)
 		return error_set(err, ERR_LIST, "entry");
 	out->target.service = str_hash(str_of(service));
 	out->target.addr = str_dup(pool, str_of(addr));
 	out->target.domain = stage_text(pool, "d%d", domain);
 	out->target.slots = 2;
 	out->target.leaving = leaving;
+	out->target.born_ms = born;
 	return 0;
 }
 
