--- a/batch.c
+++ b/batch.c
@@ -369,6 +369,7 @@
 void batch_asked(struct calls *calls, struct catalog *catalog, struct str from,
 		 uint64_t incarnation, const struct msg *msg, int64_t late_us)
 {
+	struct fingerprint print = { { msg->hash, msg->hash2 }, msg->key };
 	int64_t remaining_us = msg->remaining_us - late_us;
 	struct flow_request request;
 	const struct route *route;
@@ -380,9 +381,11 @@
 	/*
 	 * A connection that was cut, or a node that was frozen, brings
 	 * questions of seconds ago: nobody waits for them, and targets must not
-	 * work on.
+	 * work on. One that is suspect here, and was not yet where it came
+	 * from, is tried there.
 	 */
-	if (!route || remaining_us <= 0) {
+	if (!route || remaining_us <= 0 ||
+	    poison_verdict(calls->poison, &print) != POISON_NONE) {
 		refuse(calls, from, incarnation, msg->id);
 		apr_pool_destroy(pool);
 		return;
@@ -390,8 +393,7 @@
 	request.time_left_us = remaining_us;
 	call = call_create(calls, asked_bit | ++calls->next_id, &request,
 			   catalog, route);
-	call->print =
-		(struct fingerprint){ { msg->hash, msg->hash2 }, msg->key };
+	call->print = print;
 	call->start -= msg->wait_us + late_us;
 	call->give_up_at = calls->now + remaining_us;
 	call->asker = str_dup(call->pool, from);
--- a/call.c
+++ b/call.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 
 #include "note.h"
+#include "poison_news.h"
+#include "trial.h"
 #include "xmalloc.h"
 
 enum {
@@ -143,6 +145,7 @@
 {
 	int64_t until = attempt->sent_at + ORPHAN_US;
 
+	attempt->served = attempt->call->served;
 	attempt->call = NULL;
 	attempt->next = NULL;
 	timer_add(&calls->timers, until > calls->now ? until : calls->now,
@@ -214,6 +217,9 @@
 	attempt->usual = call->usual;
 	attempt->usual_us = call->usual->us;
 	attempt->extra = p->ntried > 0;
+	attempt->print = call->print;
+	attempt->round = poison_round(calls->poison, &call->print);
+	call->trial.sends += call->trial.state == TRIAL_GRANTED;
 	attempt->next = call->attempts;
 	call->attempts = attempt;
 	apr_hash_set(calls->attempts, &attempt->id, sizeof(attempt->id),
@@ -295,9 +301,13 @@
 {
 	struct part *p = &call->parts[part];
 	struct live_target *target;
+	enum send_result leave;
 
 	if (!call_may_send(call, p))
 		return SEND_NO_TRIES;
+	leave = trial_may_send(calls, call);
+	if (leave != SEND_DONE)
+		return leave;
 	target = choose(calls, call, p);
 	if (!target)
 		return SEND_NO_TARGET;
@@ -404,9 +414,15 @@
 	while (line && (first = first_in_line(calls, line)) != SIZE_MAX) {
 		struct waiter waiter = line->list[first];
 		struct call *call = call_find(calls, waiter.call);
+		enum send_result result = call_send(calls, call, waiter.part);
 
-		if (call_send(calls, call, waiter.part) != SEND_DONE)
+		/* Those behind must not wait for one that may not be sent. */
+		if (result == SEND_HELD || result == SEND_BLOCKED) {
+			call->parts[waiter.part].waits = false;
+			line_drop(line, first);
+		} else if (result != SEND_DONE) {
 			return;
+		}
 	}
 }
 
@@ -437,6 +453,36 @@
 	return reply->status / 100 == 2 ? REPLY_GOOD : REPLY_FAILED;
 }
 
+void call_served(struct calls *calls, struct call *call)
+{
+	call->served = true;
+	if (poison_served(calls->poison, &call->print, calls->now))
+		note_cleared(calls->notes, calls->now, &call->print);
+	poison_news_send(calls->news, calls->now);
+}
+
+/* What a reply, or a broken connection, says of its request. */
+static void judge_request(struct calls *calls, struct call *call,
+			  const struct attempt *attempt,
+			  const struct flow_reply *reply)
+{
+	const struct poison_entry *entry;
+
+	if (call && judge(reply) == REPLY_GOOD)
+		call_served(calls, call);
+	if (!call_has(calls, MECHANISM_POISON) ||
+	    reply->result != FETCH_BROKEN ||
+	    (call ? call->served : attempt->served))
+		return;
+	entry = poison_broke(calls->poison, &attempt->print, attempt->round,
+			     attempt->target, calls->now);
+	if (!entry)
+		return;
+	note_suspect(calls->notes, calls->now, calls->poison, entry,
+		     attempt->target->id);
+	poison_news_send(calls->news, calls->now);
+}
+
 static void take_reply(struct calls *calls, uint64_t id,
 		       const struct flow_reply *reply)
 {
@@ -460,6 +506,7 @@
 			       calls->now - copy.sent_at);
 		usual_add(copy.usual, calls->now - copy.sent_at);
 	}
+	judge_request(calls, call, &copy, reply);
 	if (reply->cold_us > 0)
 		copy.target->cold_until = calls->now + reply->cold_us;
 	roster_answered(calls->roster, copy.target, judge(reply), copy.usual_us,
@@ -515,6 +562,15 @@
 
 /* Ends. */
 
+/*
+ * What is left to end by itself crashes its targets; most targets drop a
+ * request whose connection is closed.
+ */
+static bool is_deadly(const struct calls *calls, const struct call *call)
+{
+	return poison_verdict(calls->poison, &call->print) == POISON_BLOCKED;
+}
+
 static void call_end(struct calls *calls, struct call *call)
 {
 	while (call->attempts) {
@@ -525,7 +581,9 @@
 		 * What may run once only is left to end by itself: cutting it
 		 * would leave open whether it ran, also to the target's books.
 		 */
-		if (call->route->repeatable)
+		if (is_deadly(calls, call))
+			attempt_cut(calls, attempt);
+		else if (call->route->repeatable)
 			attempt_orphan(calls, attempt);
 		else
 			attempt->call = NULL;
--- a/call.h
+++ b/call.h
@@ -4,6 +4,7 @@
 #include "fingerprint.h"
 #include "latency.h"
 #include "line.h"
+#include "poison.h"
 #include "rng.h"
 #include "roster.h"
 #include "timer.h"
@@ -20,6 +21,8 @@
 
 struct calls;
 struct call;
+struct gossip;
+struct poison_news;
 
 /**
  * struct attempt - a request under way to a target
@@ -27,6 +30,8 @@
  * @part: index of the shard within the call
  * @usual: how long such replies take; @usual_us: when it was sent
  * @extra: not the first for its shard
+ * @print, @round: of the request, for evidence against it
+ * @served: its call has had a reply
  */
 struct attempt {
 	uint64_t id;
@@ -37,6 +42,9 @@
 	struct usual *usual;
 	double usual_us;
 	bool extra;
+	struct fingerprint print;
+	int round;
+	bool served;
 	struct attempt *next; /* of the same call */
 };
 
@@ -65,6 +73,29 @@
 	SEND_NO_TARGET, /* none may be asked now */
 	SEND_NO_BUDGET, /* hedges and retries have used up the bound */
 	SEND_NO_TRIES, /* the route allows no more targets */
+	SEND_HELD, /* suspect of crashing targets: it waits for a trial */
+	SEND_BLOCKED, /* it must not be sent at all */
+};
+
+/** enum trial_state - leave to try a suspect request */
+enum trial_state {
+	TRIAL_NONE,
+	TRIAL_ASKED,
+	TRIAL_GRANTED,
+	TRIAL_DENIED,
+};
+
+/**
+ * struct trial - a call whose request is suspect
+ * @until: the leave is waited for until then
+ * @sends: made with that leave
+ * @held: some send was held back
+ */
+struct trial {
+	enum trial_state state;
+	int64_t until;
+	int sends;
+	bool held;
 };
 
 enum {
@@ -119,6 +150,8 @@
  * @tried: targets of each shard that @asker, or a node it asked, may have had
  * @batches: shards that other nodes were asked for
  * @handed: times that a whole question was handed over
+ * @trial: of a suspect request
+ * @served: some target has answered it
  * @over: it has ended; freed once all effects are carried out
  * @state: of its kind
  */
@@ -150,6 +183,8 @@
 	size_t tried;
 	struct batch *batches;
 	int handed;
+	struct trial trial;
+	bool served;
 	bool over;
 	void *state;
 	struct call *next_dead;
@@ -184,6 +219,9 @@
 	struct call *dead;
 	size_t nopen;
 	struct note_book *notes;
+	struct gossip *gossip;
+	struct poison *poison;
+	struct poison_news *news;
 	struct batch_book *batches;
 	const struct call_kind *shards_kind;
 };
@@ -206,6 +244,8 @@
 enum send_result call_send(struct calls *calls, struct call *call, size_t part);
 /** call_review_at() - plan the next review for @when, if that is earlier. */
 void call_review_at(struct calls *calls, struct call *call, int64_t when);
+/** call_served() - some target has answered it: it crashes none. */
+void call_served(struct calls *calls, struct call *call);
 /** call_replied() - a target replied; ends in the call's kind. */
 void call_replied(struct calls *calls, uint64_t id,
 		  const struct flow_reply *reply);
--- a/forward.c
+++ b/forward.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "trial.h"
 #include "xmalloc.h"
 
 enum {
@@ -39,9 +40,11 @@
 static void give_up(struct calls *calls, struct call *call, const char *why)
 {
 	const struct part *part = &call->parts[0];
+	int64_t retry_us = RETRY_AFTER_US;
 
+	trial_excuse(calls, call, &why, &retry_us);
 	if (!part->ran && !part->open)
-		call_refuse(calls, call, 503, why, RETRY_AFTER_US);
+		call_refuse(calls, call, 503, why, retry_us);
 	else if (calls->now >= call->give_up_at)
 		call_refuse(calls, call, 504, why, 0);
 	else
@@ -80,7 +83,11 @@
 			return;
 		}
 		break;
+	case SEND_HELD:
+		call_review_at(calls, call, calls->now + LOOK_AGAIN_US);
+		return;
 	case SEND_NO_TRIES:
+	case SEND_BLOCKED:
 		break;
 	}
 	give_up(calls, call, why);
--- a/gossip.c
+++ b/gossip.c
@@ -228,12 +228,29 @@
 
 	fx->addr = str_dup(gossip->fx->pool, addr);
 	fx->msg.kind = MSG_GOSSIP;
+	fx->msg.hash = gossip->digest;
 	fx->msg.body = str_dup(gossip->fx->pool, body);
 }
 
+/** enum side - which nodes are meant */
+enum side {
+	SIDE_NEAR,
+	SIDE_FAR,
+	SIDE_ALL, /* that are up */
+};
+
+static bool is_of_side(const struct member_info *member, enum side side,
+		       int64_t now)
+{
+	if (side == SIDE_ALL)
+		return is_up(member, now);
+	return member->near == (side == SIDE_NEAR) &&
+	       gossip_counts(member, now);
+}
+
 /* Picks up to @most of those of one side, each with the same chance. */
-static size_t pick(struct gossip *gossip, bool near, size_t most, int64_t now,
-		   struct member_info **out)
+static size_t pick(struct gossip *gossip, enum side side, size_t most,
+		   int64_t now, struct member_info **out)
 {
 	apr_hash_index_t *it;
 	size_t seen = 0;
@@ -243,7 +260,7 @@
 		struct member_info *member = hash_value(it);
 		size_t place;
 
-		if (member->near != near || !gossip_counts(member, now))
+		if (!is_of_side(member, side, now))
 			continue;
 		place = seen++;
 		if (place >= most)
@@ -254,6 +271,40 @@
 	return seen < most ? seen : most;
 }
 
+size_t gossip_pick(struct gossip *gossip, size_t most, int64_t now,
+		   struct member_info **out)
+{
+	return pick(gossip, SIDE_ALL, most, now, out);
+}
+
+static uint64_t weight(uint32_t ip, uint64_t key)
+{
+	uint64_t words[] = { key, ip };
+
+	return str_hash((struct str){ (const char *)words, sizeof(words) });
+}
+
+struct member_info *gossip_owner(const struct gossip *gossip, uint64_t key,
+				 int64_t now)
+{
+	bool leaves = gossip->self.state & MEMBER_LEAVES;
+	uint64_t most = leaves ? 0 : weight(gossip->self.ip, key);
+	struct member_info *owner = NULL;
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, gossip->members); it;
+	     it = apr_hash_next(it)) {
+		struct member_info *member = hash_value(it);
+
+		if (!gossip_is_live(member, now) ||
+		    weight(member->entry.ip, key) <= most)
+			continue;
+		owner = member;
+		most = weight(member->entry.ip, key);
+	}
+	return owner;
+}
+
 /* Return: whether some seeds have not answered yet. */
 static bool contact_seeds(struct gossip *gossip, struct str body, int64_t now)
 {
@@ -296,12 +347,12 @@
 	gossip->self.beat++;
 	count_live(gossip, now);
 	pack(gossip, true, now, &all);
-	count = pick(gossip, true, NEAR_FANOUT, now, picked);
+	count = pick(gossip, SIDE_NEAR, NEAR_FANOUT, now, picked);
 	for (size_t i = 0; i < count; i++)
 		send_gossip(gossip, picked[i]->addr, buf_str(&all));
 	pack(gossip, false, now, &own);
 	count = gossips_far(gossip)
-			? pick(gossip, false, FAR_FANOUT, now, picked)
+			? pick(gossip, SIDE_FAR, FAR_FANOUT, now, picked)
 			: 0;
 	for (size_t i = 0; i < count; i++)
 		send_gossip(gossip, picked[i]->addr, buf_str(&own));
--- a/gossip.h
+++ b/gossip.h
@@ -49,6 +49,7 @@
  * @near_live: live nodes of the failure domain, this one included
  * @counted, @near_counted: nodes that may hold a part of shared bounds, and
  *                          those of them in the failure domain
+ * @digest: of other things that nodes compare, sent along with each round
  */
 struct gossip {
 	apr_pool_t *pool;
@@ -65,6 +66,7 @@
 	int near_live;
 	int counted;
 	int near_counted;
+	uint64_t digest;
 };
 
 /** gossip_init() - @domain: failure domain; @core: share of a core. */
@@ -93,6 +95,19 @@
 bool gossip_counts(const struct member_info *member, int64_t now);
 /** gossip_count() - nodes that may hold a part of shared bounds. */
 int gossip_count(const struct gossip *gossip);
+/**
+ * gossip_pick() - up to @most nodes that are up, each with the same chance
+ *
+ * Return: how many.
+ */
+size_t gossip_pick(struct gossip *gossip, size_t most, int64_t now,
+		   struct member_info **out);
+/**
+ * gossip_owner() - the live node that decides about @key: the same one on all
+ * nodes that know the same others; NULL when it is this one
+ */
+struct member_info *gossip_owner(const struct gossip *gossip, uint64_t key,
+				 int64_t now);
 bool gossip_is_live(const struct member_info *member, int64_t now);
 struct member_info *gossip_find(struct gossip *gossip, struct str addr);
 /** gossip_is_seed() - this node is one of the seeds. */
--- a/mechanism.c
+++ b/mechanism.c
@@ -51,6 +51,8 @@
 						 "than they bear" },
 	[MECHANISM_QUICK_START] = { "quick-start", "nodes that start again "
 						   "read the store at once" },
+	[MECHANISM_POISON] = { "poison", "requests that crash their targets "
+					 "are tried at one, then blocked" },
 };
 
 const struct mechanism_info *mechanism_info(enum mechanism mechanism)
--- a/merge.c
+++ b/merge.c
@@ -2,6 +2,7 @@
 
 #include "batch.h"
 #include "records.h"
+#include "trial.h"
 
 enum {
 	/*
@@ -56,6 +57,11 @@
 	return APR_SUCCESS;
 }
 
+static bool is_suspect(const struct calls *calls, const struct call *call)
+{
+	return poison_verdict(calls->poison, &call->print) != POISON_NONE;
+}
+
 bool merge_enough(const struct route *route, size_t done)
 {
 	double need = route->least * (double)route->nshards;
@@ -114,6 +120,11 @@
 	call_answer(calls, call, &final);
 }
 
+static bool is_idle(const struct part *part)
+{
+	return !part->done && !part->open && !part->batched;
+}
+
 static bool any_ran(const struct call *call)
 {
 	for (size_t i = 0; i < call->nparts; i++)
@@ -126,12 +137,15 @@
 /* "Not run" is promised only where it is so. */
 static void give_up(struct calls *calls, struct call *call, const char *why)
 {
+	int64_t retry_us = RETRY_AFTER_US;
+
+	trial_excuse(calls, call, &why, &retry_us);
 	if (calls->now >= call->give_up_at)
 		call_refuse(calls, call, 504, why, 0);
 	else if (any_ran(call))
-		call_refuse(calls, call, 502, why, RETRY_AFTER_US);
+		call_refuse(calls, call, 502, why, retry_us);
 	else
-		call_refuse(calls, call, 503, why, RETRY_AFTER_US);
+		call_refuse(calls, call, 503, why, retry_us);
 }
 
 /*
@@ -144,8 +158,9 @@
  */
 static size_t count_possible(const struct calls *calls, const struct call *call)
 {
-	bool waits = call_has(calls, MECHANISM_LATE_ANSWERS) ||
-		     calls->now < call->soft_at;
+	bool waits = (call_has(calls, MECHANISM_LATE_ANSWERS) ||
+		      calls->now < call->soft_at) &&
+		     !trial_hopeless(calls, call);
 	size_t possible = 0;
 
 	for (size_t i = 0; i < call->nparts; i++) {
@@ -169,6 +184,10 @@
 		answer(calls, call, "complete");
 		return true;
 	}
+	if (!call->ndone && trial_hopeless(calls, call)) {
+		give_up(calls, call, "no target may have it");
+		return true;
+	}
 	if (merge_enough(call->route, call->ndone) &&
 	    (late || possible == call->ndone)) {
 		answer(calls, call, late ? "soft deadline" : "nothing more");
@@ -208,7 +227,8 @@
 	const struct merge_state *state = call->state;
 	bool late = calls->now >= call->soft_at;
 	bool last = count_possible(calls, call) == call->ndone ||
-		    calls->now >= call->give_up_at;
+		    calls->now >= call->give_up_at ||
+		    trial_hopeless(calls, call);
 
 	if (last || (late && state->nfresh) ||
 	    (!state->told && calls->now >= merge_tell_at(call)))
@@ -251,8 +271,7 @@
 	for (size_t i = 0; i < call->nparts; i++) {
 		const struct part *part = &call->parts[i];
 
-		if (!part->done && !part->open && !part->batched &&
-		    call_may_send(call, part) &&
+		if (is_idle(part) && call_may_send(call, part) &&
 		    calls->now + LOOK_AGAIN_US < when)
 			when = calls->now + LOOK_AGAIN_US;
 	}
@@ -279,7 +298,7 @@
 	for (size_t i = 0; i < call->nparts; i++) {
 		struct part *part = &call->parts[i];
 
-		if (!part->done && !part->open && !part->batched)
+		if (is_idle(part))
 			send_again(calls, call, i);
 	}
 	if (!call_has(calls, MECHANISM_HEDGES))
@@ -299,6 +318,7 @@
 		batch_overdue(calls, call);
 	if (call->over)
 		return;
+	trial_over(calls, call);
 	hedge(calls, call);
 	plan_review(calls, call);
 }
@@ -337,7 +357,7 @@
 	for (size_t i = 0; i < call->nparts; i++) {
 		const struct part *part = &call->parts[i];
 
-		if (part->open || part->batched)
+		if (!is_idle(part))
 			continue;
 		if (roster_holds(calls->roster, part->service, domain,
 				 calls->now))
@@ -375,7 +395,8 @@
 		apr_palloc(call->pool, (call->nparts + 1) * sizeof(*parts));
 
 	for (int i = 0;
-	     i < SPREAD_DOMAINS_MAX && call_has(calls, MECHANISM_BATCHES);
+	     i < SPREAD_DOMAINS_MAX && call_has(calls, MECHANISM_BATCHES) &&
+	     !is_suspect(calls, call);
 	     i++) {
 		uint64_t domain = best_domain(calls, call, parts);
 		struct member_info *member;
@@ -400,7 +421,8 @@
 
 	for (size_t i = 0; i < call->nparts; i++) {
 		choice.service = call->parts[i].service;
-		if (roster_near_first(calls->roster, &choice))
+		if (is_idle(&call->parts[i]) &&
+		    roster_near_first(calls->roster, &choice))
 			call_send(calls, call, i);
 	}
 }
@@ -408,10 +430,18 @@
 static void send_rest(struct calls *calls, struct call *call)
 {
 	for (size_t i = 0; i < call->nparts; i++)
-		if (!call->parts[i].open && !call->parts[i].batched)
+		if (is_idle(&call->parts[i]))
 			call_send(calls, call, i);
 }
 
+static void send_all(struct calls *calls, struct call *call, bool may_hand_on)
+{
+	send_near(calls, call);
+	if (may_hand_on)
+		send_far(calls, call);
+	send_rest(calls, call);
+}
+
 /* Return: true if another node was asked for the whole question. */
 static bool send_whole(struct calls *calls, struct call *call)
 {
@@ -472,10 +502,7 @@
 {
 	prepare(calls, call);
 	if (call->asker.len) {
-		send_near(calls, call);
-		if (call->may_hand_on)
-			send_far(calls, call);
-		send_rest(calls, call);
+		send_all(calls, call, call->may_hand_on);
 		if (!settle(calls, call))
 			plan_review(calls, call);
 		return;
@@ -485,10 +512,13 @@
 			    RETRY_AFTER_US);
 		return;
 	}
-	if (!send_whole(calls, call)) {
-		send_near(calls, call);
-		send_far(calls, call);
+	if (is_suspect(calls, call)) {
+		/* The first shard whose target is free is the trial. */
 		send_rest(calls, call);
+		if (settle(calls, call))
+			return;
+	} else if (!send_whole(calls, call)) {
+		send_all(calls, call, true);
 	}
 	plan_review(calls, call);
 }
@@ -530,6 +560,8 @@
 	} else if (!call->parts[attempt->part].open) {
 		send_again(calls, call, attempt->part);
 	}
+	if (trial_over(calls, call))
+		send_all(calls, call, call->may_hand_on || !call->asker.len);
 	if (!settle(calls, call) && !is_part(reply))
 		plan_review(calls, call);
 }
@@ -542,8 +574,10 @@
 
 	for (size_t i = 0; i < nparts; i++)
 		take_part(call, parts[i]);
-	if (nparts)
+	if (nparts) {
 		take(call, msg->body, msg->text);
+		call_served(calls, call);
+	}
 	/* It may be about to retry, of which this one's asker must know. */
 	if (!msg->state && call->asker.len && !state->told)
 		tell_asker(calls, call, false);
@@ -562,7 +596,7 @@
 
 	if (call->asker.len || nparts < BATCH_LEAST ||
 	    call->handed >= HANDED_MOST ||
-	    (int)tried >= call->route->attempts ||
+	    (int)tried >= call->route->attempts || is_suspect(calls, call) ||
 	    spread_here(spread, call->catalog, call->route, calls->now))
 		return false;
 	member = spread_choose(spread, call->catalog, call->route, 0,
--- a/msg.h
+++ b/msg.h
@@ -27,6 +27,11 @@
  * @body, signatures in @text of the shards in @name, @state when it is the
  * last. After the first word of a node the asking one says GO: further targets
  * may be asked.
+ *
+ * SUSPECTS brings evidence against requests in @body; GOSSIP the digest of it
+ * in @hash, and so does SUSPECTS, which asks for an answer where @state says
+ * so. TRY asks for leave to try the suspect request of fingerprint @hash,
+ * @hash2, @key; TRY_REPLY gives it where @state says so.
  */
 enum msg_kind {
 	MSG_NONE,
@@ -55,6 +60,9 @@
 	MSG_ASK_REPLY,
 	MSG_ASK_CANCEL,
 	MSG_ASK_GO,
+	MSG_SUSPECTS,
+	MSG_TRY,
+	MSG_TRY_REPLY,
 	MSG_KINDS,
 };
 
--- a/note.c
+++ b/note.c
@@ -73,15 +73,20 @@
 				  : -1LL);
 }
 
+static void add_print(struct buf *line, const struct fingerprint *print)
+{
+	buf_printf(line, ",\"content\":\"%016llx\",\"caller\":\"%016llx\"",
+		   (unsigned long long)print->content[0],
+		   (unsigned long long)print->caller);
+}
+
 static void add_call(struct buf *line, int64_t now, const struct call *call)
 {
 	buf_printf(line, ",\"request\":");
 	buf_json_add(line, call->request.request_id);
 	buf_printf(line, ",\"route\":");
 	buf_json_add(line, call->route->name);
-	buf_printf(line, ",\"content\":\"%016llx\",\"caller\":\"%016llx\"",
-		   (unsigned long long)call->print.content[0],
-		   (unsigned long long)call->print.caller);
+	add_print(line, &call->print);
 	buf_printf(line, ",\"after_ms\":%.1f,\"left_ms\":%.1f",
 		   (double)(now - call->start) / 1000,
 		   (double)(call->give_up_at - now) / 1000);
@@ -115,10 +120,9 @@
 static void add_missing(struct buf *line, const struct call *call)
 {
 	static const char *const names[] = {
-		[SEND_DONE] = "not_sent",
-		[SEND_NO_TARGET] = "no_target",
-		[SEND_NO_BUDGET] = "no_budget",
-		[SEND_NO_TRIES] = "no_tries",
+		[SEND_DONE] = "not_sent",	[SEND_NO_TARGET] = "no_target",
+		[SEND_NO_BUDGET] = "no_budget", [SEND_NO_TRIES] = "no_tries",
+		[SEND_HELD] = "held",		[SEND_BLOCKED] = "blocked",
 	};
 	int held[sizeof(names) / sizeof(*names)] = { 0 };
 	int replies = 0;
@@ -232,6 +236,54 @@
 	put(notes, &line, false);
 }
 
+static const char *verdict_name(enum poison_verdict verdict)
+{
+	switch (verdict) {
+	case POISON_NONE:
+		return "none";
+	case POISON_SUSPECT:
+		return "suspect";
+	case POISON_BLOCKED:
+		break;
+	}
+	return "blocked";
+}
+
+void note_suspect(struct note_book *notes, int64_t now,
+		  const struct poison *poison, const struct poison_entry *entry,
+		  struct str target)
+{
+	enum poison_verdict verdict = poison_verdict(poison, &entry->print);
+	struct buf line = { 0 };
+
+	if (!admit(notes, now, NOTE_BELIEF))
+		return;
+	begin(notes, &line, now, NOTE_BELIEF);
+	buf_printf(&line, ",\"what\":\"request crashes targets\"");
+	add_print(&line, &entry->print);
+	buf_printf(&line,
+		   ",\"verdict\":\"%s\",\"rounds\":%d,\"crashes\":%zu,"
+		   "\"target\":",
+		   verdict_name(verdict), entry->rounds, entry->ncrashes);
+	buf_json_add(&line, target);
+	buf_str_add(&line, STR("}"));
+	put(notes, &line, verdict == POISON_BLOCKED);
+}
+
+void note_cleared(struct note_book *notes, int64_t now,
+		  const struct fingerprint *print)
+{
+	struct buf line = { 0 };
+
+	if (!admit(notes, now, NOTE_BELIEF))
+		return;
+	begin(notes, &line, now, NOTE_BELIEF);
+	buf_printf(&line, ",\"what\":\"request crashes no target\"");
+	add_print(&line, print);
+	buf_printf(&line, ",\"why\":\"a target answered it\"}");
+	put(notes, &line, false);
+}
+
 void note_batch(struct note_book *notes, int64_t now, const struct call *call,
 		struct str addr, size_t shards, const char *why)
 {
--- a/note.h
+++ b/note.h
@@ -41,6 +41,13 @@
 /** note_tried() - a target did not serve; @left_us: time that is left. */
 void note_tried(struct note_book *notes, int64_t now, const struct call *call,
 		const struct attempt *attempt, const struct flow_reply *reply);
+/** note_suspect() - there is more evidence against a request. */
+void note_suspect(struct note_book *notes, int64_t now,
+		  const struct poison *poison, const struct poison_entry *entry,
+		  struct str target);
+/** note_cleared() - there was evidence, and a target has answered it. */
+void note_cleared(struct note_book *notes, int64_t now,
+		  const struct fingerprint *print);
 /** note_batch() - shards handed to the node at @addr are asked for here. */
 void note_batch(struct note_book *notes, int64_t now, const struct call *call,
 		struct str addr, size_t shards, const char *why);
--- a/parcel.c
+++ b/parcel.c
@@ -16,6 +16,8 @@
 	PACK_FROM = 16 * 1024,
 	/* What a packed list may unpack to; a damaged size is not believed. */
 	UNPACKED_MAX = 64 * 1024 * 1024,
+	/* No request is tried so often; a damaged number is not believed. */
+	ROUNDS_MAX = 1000000,
 };
 
 static ProtobufCBinaryData to_bytes(struct str s)
@@ -190,6 +192,101 @@
 	return 0;
 }
 
+static void pack_crashes(const struct poison_entry *entry, int64_t now,
+			 Wire__Crash *crashes, Wire__Crash **ptrs)
+{
+	for (size_t i = 0; i < entry->ncrashes; i++) {
+		wire__crash__init(&crashes[i]);
+		crashes[i].target = entry->crashes[i].key;
+		crashes[i].born_ms = entry->crashes[i].born_ms;
+		crashes[i].age_us = now - entry->crashes[i].at;
+		ptrs[i] = &crashes[i];
+	}
+}
+
+/** struct packed_suspect - an entry with the crashes that it points to */
+struct packed_suspect {
+	Wire__Suspect wire;
+	Wire__Crash crashes[POISON_TARGETS_MAX];
+	Wire__Crash *ptrs[POISON_TARGETS_MAX];
+};
+
+static void pack_suspect(const struct poison_entry *entry, int64_t now,
+			 struct packed_suspect *out)
+{
+	wire__suspect__init(&out->wire);
+	out->wire.content_high = entry->print.content[0];
+	out->wire.content_low = entry->print.content[1];
+	out->wire.caller = entry->print.caller;
+	out->wire.rounds = (uint32_t)entry->rounds;
+	out->wire.harmless = entry->harmless;
+	out->wire.n_crashes = entry->ncrashes;
+	out->wire.crashes = out->ptrs;
+	pack_crashes(entry, now, out->crashes, out->ptrs);
+}
+
+void parcel_suspects(struct poison_entry *const *list, size_t count,
+		     int64_t now, struct buf *out)
+{
+	Wire__Suspects wire = WIRE__SUSPECTS__INIT;
+	struct packed_suspect *packed = xcalloc(count + 1, sizeof(*packed));
+	Wire__Suspect **ptrs = xcalloc(count + 1, sizeof(*ptrs));
+	size_t len;
+
+	for (size_t i = 0; i < count; i++) {
+		pack_suspect(list[i], now, &packed[i]);
+		ptrs[i] = &packed[i].wire;
+	}
+	wire.n_suspects = count;
+	wire.suspects = ptrs;
+	len = wire__suspects__get_packed_size(&wire);
+	buf_reserve(out, len + 1);
+	wire__suspects__pack(&wire, (uint8_t *)out->ptr + out->len);
+	out->len += len;
+	free(ptrs);
+	free(packed);
+}
+
+static struct poison_entry open_suspect(const Wire__Suspect *from, int64_t now)
+{
+	struct poison_entry entry = {
+		.print = { { from->content_high, from->content_low },
+			   from->caller },
+		.harmless = from->harmless,
+	};
+
+	for (size_t i = 0;
+	     i < from->n_crashes && entry.ncrashes < POISON_TARGETS_MAX; i++) {
+		const Wire__Crash *crash = from->crashes[i];
+
+		entry.crashes[entry.ncrashes++] = (struct poison_crash){
+			.key = crash->target,
+			.born_ms = crash->born_ms,
+			.at = now - crash->age_us,
+		};
+	}
+	if (from->rounds <= ROUNDS_MAX)
+		entry.rounds = (int)from->rounds;
+	return entry;
+}
+
+int parcel_open_suspects(struct str body, int64_t now, apr_pool_t *pool,
+			 struct poison_entry **list, size_t *count)
+{
+	Wire__Suspects *wire = wire__suspects__unpack(
+		NULL, body.len, (const uint8_t *)body.ptr);
+
+	*count = 0;
+	if (!wire)
+		return ERR_FRAME;
+	*list = apr_pcalloc(pool, (wire->n_suspects + 1) * sizeof(**list));
+	for (size_t i = 0; i < wire->n_suspects; i++)
+		(*list)[i] = open_suspect(wire->suspects[i], now);
+	*count = wire->n_suspects;
+	wire__suspects__free_unpacked(wire, NULL);
+	return 0;
+}
+
 void parcel_request(const struct flow_request *request, struct buf *out)
 {
 	Wire__Ask wire = WIRE__ASK__INIT;
--- a/parcel.h
+++ b/parcel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flow.h"
+#include "poison.h"
 
 /**
  * DOC: bodies of messages between nodes
@@ -40,6 +41,11 @@
 		    struct buf *out);
 int parcel_open_members(struct str body, apr_pool_t *pool,
 			struct member_entry **members, size_t *count);
+/** parcel_suspects() - evidence against requests, as it is at @now. */
+void parcel_suspects(struct poison_entry *const *list, size_t count,
+		     int64_t now, struct buf *out);
+int parcel_open_suspects(struct str body, int64_t now, apr_pool_t *pool,
+			 struct poison_entry **list, size_t *count);
 void parcel_request(const struct flow_request *request, struct buf *out);
 int parcel_open_request(struct str body, apr_pool_t *pool,
 			struct flow_request *request);
--- /dev/null
+++ b/poison.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "fingerprint.h"
+#include "roster.h"
+
+/**
+ * DOC: requests that crash the targets that run them
+ *
+ * Such a request comes again under other ids, and each node that hedges and
+ * retries it crashes more targets. What tells it from all others that were
+ * under way at a crash: it has broken off at several targets, in rounds that
+ * followed each other, and none has ever answered it. A request that has broken
+ * off at a few is suspect: it is tried at one target at a time (trial.h), and
+ * an answer clears it. After some rounds without one it is blocked.
+ *
+ * Evidence is against a caller's request. The content alone is blocked once it
+ * has crashed targets for two callers.
+ */
+
+enum {
+	/* Targets that are kept in mind for a request. */
+	POISON_TARGETS_MAX = 8,
+	/* Requests that there is evidence against; some 300 bytes each. */
+	POISON_ENTRIES_MAX = 1024,
+	/* Requests of which it is remembered that they were just answered. */
+	POISON_SERVED_MAX = 4096,
+};
+
+/** enum poison_verdict - what may be done with a request */
+enum poison_verdict {
+	POISON_NONE,
+	POISON_SUSPECT, /* one target at a time, by leave */
+	POISON_BLOCKED, /* none */
+};
+
+/**
+ * struct poison_crash - a target that broke off under a request
+ * @key, @born_ms: of that start of it
+ * @at: when its connection broke
+ * @settled: its entry is gone since, so it did end
+ */
+struct poison_crash {
+	uint64_t key;
+	int64_t born_ms;
+	int64_t at;
+	bool settled;
+};
+
+/**
+ * struct poison_entry - evidence against a request of one caller
+ * @rounds: breaks of sends that were made after the round before had broken
+ * @asked_at: when it came last
+ * @leased_until: it is tried by some node until then
+ * @harmless: a target answered it; kept as others send the same content
+ * @news: not yet sent to other nodes
+ * @next: the same content of another caller
+ */
+struct poison_entry {
+	struct fingerprint print;
+	int rounds;
+	struct poison_crash crashes[POISON_TARGETS_MAX];
+	size_t ncrashes;
+	int64_t asked_at;
+	int64_t leased_until;
+	bool harmless;
+	bool news;
+	struct poison_entry *next;
+};
+
+/** struct poison_served - a request, by its hash, and when it was answered */
+struct poison_served {
+	uint64_t key;
+	int64_t at;
+};
+
+/**
+ * struct poison - all evidence that this node knows
+ * @entries: content -> struct poison_entry, linked by next
+ * @served: answered lately, by their keys; a newer one takes an older one's
+ *          place
+ * @count: entries in all
+ * @has_news: some entry is news
+ */
+struct poison {
+	apr_hash_t *entries;
+	struct poison_served *served;
+	struct roster *roster;
+	size_t count;
+	bool has_news;
+};
+
+void poison_init(struct poison *poison, apr_pool_t *pool,
+		 struct roster *roster);
+void poison_destroy(struct poison *poison);
+enum poison_verdict poison_verdict(const struct poison *poison,
+				   const struct fingerprint *print);
+/** poison_asked() - the request came: it is not forgotten soon. */
+void poison_asked(struct poison *poison, const struct fingerprint *print,
+		  int64_t now);
+/** poison_round() - which round a send made now belongs to, from 1 on. */
+int poison_round(const struct poison *poison, const struct fingerprint *print);
+/**
+ * poison_broke() - a connection broke under the request, sent in @round
+ *
+ * Return: the entry if it tells something new, else NULL.
+ */
+const struct poison_entry *
+poison_broke(struct poison *poison, const struct fingerprint *print, int round,
+	     const struct live_target *target, int64_t now);
+/**
+ * poison_served() - a target answered it
+ *
+ * Return: whether there was evidence against it.
+ */
+bool poison_served(struct poison *poison, const struct fingerprint *print,
+		   int64_t now);
+/** poison_lease() - false while another trial of the same content runs. */
+bool poison_lease(struct poison *poison, const struct fingerprint *print,
+		  int64_t now);
+/**
+ * poison_take() - another node's evidence; times in it are of this node's clock
+ * @relay: what is new here is news to further nodes
+ */
+void poison_take(struct poison *poison, const struct poison_entry *from,
+		 bool relay, bool store_fresh, int64_t now);
+/**
+ * poison_settle() - drop what the table of targets refutes, and what is old
+ * @store_fresh: the table is what the store says now
+ */
+void poison_settle(struct poison *poison, bool store_fresh, int64_t now);
+/** poison_digest() - alike on nodes that know the same; 0 for nothing. */
+uint64_t poison_digest(const struct poison *poison);
+/** poison_blocked() - how many requests are blocked. */
+size_t poison_blocked(const struct poison *poison);
--- a/roster.c
+++ b/roster.c
@@ -444,6 +444,14 @@
 	return false;
 }
 
+bool roster_lists(const struct roster *roster, uint64_t key, int64_t born_ms)
+{
+	const struct live_target *target =
+		apr_hash_get(roster->targets, &key, sizeof(key));
+
+	return target && target->listed && target->born_ms == born_ms;
+}
+
 /* Return: one that can be forgotten, or NULL. */
 static struct live_target *find_gone(struct roster *roster, int64_t now)
 {
--- a/roster.h
+++ b/roster.h
@@ -96,6 +96,8 @@
 		  uint64_t domain, int64_t now);
 /** roster_first() - targets of a service, linked by next. */
 struct live_target *roster_first(const struct roster *roster, uint64_t service);
+/** roster_lists() - this start of the target @key is published. */
+bool roster_lists(const struct roster *roster, uint64_t key, int64_t born_ms);
 /** roster_sweep() - forget targets whose entries are long gone. */
 void roster_sweep(struct roster *roster, int64_t now);
 size_t roster_count(const struct roster *roster);
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -12,6 +12,7 @@
 #include "../directory.h"
 #include "../head.h"
 #include "../line.h"
+#include "../poison_news.h"
 #include "../note.h"
 #include "../platform/platform.h"
 #include "../records.h"
@@ -501,15 +502,21 @@
 	struct target_entry b = entry("b", "there");
 	struct flow_effects fx;
 	struct note_book notes = { .fx = &fx };
+	struct gossip gossip = { .members = hash_make(pool) };
+	struct poison poison;
+	struct poison_news news = { &poison, &gossip, &fx, 0 };
 	struct calls calls;
 	struct call *call;
 
 	flow_effects_init(&fx, pool);
 	calls_init(&calls, pool, 1);
+	calls.poison = &poison;
+	calls.news = &news;
 	calls.fx = &fx;
 	calls.notes = &notes;
 	calls.now = 100 * (int64_t)SECOND_US;
 	calls.roster = roster_create(pool, STR("here"), 0);
+	poison_init(&poison, pool, calls.roster);
 	calls.budget = budget_create(
 		pool, (struct budget_rules){ 1, 100, 10 * SECOND_US });
 	call = call_create(&calls, 1, &request, catalog_create(), &route);
@@ -525,6 +532,7 @@
 	ck_assert_int_eq(part.open, 0);
 	call_finish(&calls, call);
 	calls_destroy(&calls);
+	poison_destroy(&poison);
 	budget_destroy(calls.budget);
 	roster_destroy(calls.roster);
 	flow_effects_free(&fx);
--- a/tier.c
+++ b/tier.c
@@ -6,9 +6,11 @@
 #include "forward.h"
 #include "merge.h"
 #include "note.h"
+#include "poison_news.h"
 #include "reader.h"
 #include "share.h"
 #include "spread.h"
+#include "trial.h"
 #include "xmalloc.h"
 
 enum {
@@ -34,6 +36,10 @@
 	 * target resets what is beyond its cap.
 	 */
 	MEET_US = 1000000,
+	/* The table of targets is as the store has it: read this lately, */
+	FRESH_US = 2000000,
+	/* and entries that lapsed while it was away have come back. */
+	AWAY_US = 5000000,
 };
 
 struct tier {
@@ -51,6 +57,8 @@
 	struct share share;
 	struct spread spread;
 	struct batch_book batches;
+	struct poison poison;
+	struct poison_news poison_news;
 	bool ready;
 	int64_t stop_at;
 	bool stopped;
@@ -103,12 +111,20 @@
 	batch_book_init(&tier->batches, tier->pool, &tier->gossip,
 			&tier->spread);
 	merge_init(&tier->calls, &tier->batches);
+	poison_init(&tier->poison, tier->pool, tier->roster);
+	tier->poison_news = (struct poison_news){ .poison = &tier->poison,
+						  .gossip = &tier->gossip,
+						  .fx = fx };
+	tier->calls.poison = &tier->poison;
+	tier->calls.news = &tier->poison_news;
+	tier->calls.gossip = &tier->gossip;
 	return tier;
 }
 
 void tier_destroy(struct tier *tier)
 {
 	calls_destroy(&tier->calls);
+	poison_destroy(&tier->poison);
 	gossip_destroy(&tier->gossip);
 	budget_destroy(tier->calls.budget);
 	reader_destroy(&tier->reader);
@@ -157,6 +173,20 @@
 	       request->time_left_us <= event->held_us;
 }
 
+/* Return: true when it is one that crashes targets, and the call has ended. */
+static bool refuse_blocked(struct tier *tier, struct call *call)
+{
+	const char *why = "blocked";
+	int64_t retry_us = 0;
+
+	if (poison_verdict(&tier->poison, &call->print) != POISON_BLOCKED)
+		return false;
+	metric_add(&tier->notes.metrics, METRIC_BLOCKED);
+	trial_excuse(&tier->calls, call, &why, &retry_us);
+	call_refuse(&tier->calls, call, 503, why, retry_us);
+	return true;
+}
+
 static void on_request(struct tier *tier, const struct flow_event *event)
 {
 	struct flow_request copy = *event->request;
@@ -186,6 +216,9 @@
 			   route);
 	call->print = fingerprint_of(request);
 	call->kind = route->nshards ? &merge_kind : &forward_kind;
+	poison_asked(&tier->poison, &call->print, event->now);
+	if (refuse_blocked(tier, call))
+		return;
 	call->kind->begin(&tier->calls, call);
 }
 
@@ -262,6 +295,13 @@
 
 /* Other nodes. */
 
+/* What the table of targets lacks now is gone, not only out of sight. */
+static bool store_is_fresh(const struct tier *tier, int64_t now)
+{
+	return now - tier->dir.read_at < FRESH_US &&
+	       now - roster_store_lost_at(tier->roster) > AWAY_US;
+}
+
 static void on_msg(struct tier *tier, const struct flow_event *event)
 {
 	const struct msg *msg = event->msg;
@@ -277,6 +317,19 @@
 	switch (msg->kind) {
 	case MSG_GOSSIP:
 		gossip_msg(&tier->gossip, event->from, msg->body, event->now);
+		poison_news_digest(&tier->poison_news, event->from, msg->hash,
+				   event->now);
+		break;
+	case MSG_SUSPECTS:
+		poison_news_msg(&tier->poison_news, event->from, msg,
+				store_is_fresh(tier, event->now), event->now);
+		poison_news_send(&tier->poison_news, event->now);
+		break;
+	case MSG_TRY:
+		trial_asked(&tier->calls, event->from, event->incarnation, msg);
+		break;
+	case MSG_TRY_REPLY:
+		trial_on_reply(&tier->calls, msg);
 		break;
 	case MSG_RELINK:
 		fx = flow_add(tier->fx, FLOW_RESET_PEER);
@@ -332,6 +385,8 @@
 	tier->sweep_at = tier->calls.now + SWEEP_US;
 	roster_sweep(tier->roster, tier->calls.now);
 	directory_sweep(&tier->dir, tier->calls.now);
+	poison_settle(&tier->poison, store_is_fresh(tier, tier->calls.now),
+		      tier->calls.now);
 }
 
 static void run_timers(struct tier *tier)
@@ -387,6 +442,8 @@
 		break;
 	}
 	share_tick(&tier->share, event->now);
+	if (event->now >= tier->gossip.next_at)
+		tier->gossip.digest = poison_digest(&tier->poison);
 	gossip_tick(&tier->gossip, event->now);
 	count_nodes(tier);
 	reader_tick(&tier->reader, event->now);
@@ -449,5 +506,10 @@
 	metric_gauge(out, "store_age_ms",
 		     "since the store, or a reader of it, was heard of",
 		     (uint64_t)(tier->calls.now - dir->read_at) / 1000);
+	metric_gauge(out, "suspect_requests",
+		     "with evidence that they crash targets",
+		     tier->poison.count);
+	metric_gauge(out, "blocked_requests", "of these, never sent any more",
+		     poison_blocked(&tier->poison));
 	metric_gauge(out, "ready", "callers may be sent here", tier->ready);
 }
--- a/wire.c
+++ b/wire.c
@@ -11,7 +11,7 @@
 	"go",	  "go_reply",	 "release",  "forward",	  "forward_reply",
 	"lease",  "lease_reply", "handover", "gossip",	  "relink",
 	"items",  "items_get",	 "ask",	     "ask_reply", "ask_cancel",
-	"ask_go",
+	"ask_go", "suspects",	 "try",	     "try_reply",
 };
 
 const char *msg_name(uint32_t kind)
--- a/wire.pb-c.c
+++ b/wire.pb-c.c
@@ -322,6 +322,141 @@
   assert(message->base.descriptor == &wire__ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__crash__init
+                     (Wire__Crash         *message)
+{
+  static const Wire__Crash init_value = WIRE__CRASH__INIT;
+  *message = init_value;
+}
+size_t wire__crash__get_packed_size
+                     (const Wire__Crash *message)
+{
+  assert(message->base.descriptor == &wire__crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__crash__pack
+                     (const Wire__Crash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__crash__pack_to_buffer
+                     (const Wire__Crash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Crash *
+       wire__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Crash *)
+     protobuf_c_message_unpack (&wire__crash__descriptor,
+                                allocator, len, data);
+}
+void   wire__crash__free_unpacked
+                     (Wire__Crash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__suspect__init
+                     (Wire__Suspect         *message)
+{
+  static const Wire__Suspect init_value = WIRE__SUSPECT__INIT;
+  *message = init_value;
+}
+size_t wire__suspect__get_packed_size
+                     (const Wire__Suspect *message)
+{
+  assert(message->base.descriptor == &wire__suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__suspect__pack
+                     (const Wire__Suspect *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__suspect__pack_to_buffer
+                     (const Wire__Suspect *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Suspect *
+       wire__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Suspect *)
+     protobuf_c_message_unpack (&wire__suspect__descriptor,
+                                allocator, len, data);
+}
+void   wire__suspect__free_unpacked
+                     (Wire__Suspect *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wire__suspects__init
+                     (Wire__Suspects         *message)
+{
+  static const Wire__Suspects init_value = WIRE__SUSPECTS__INIT;
+  *message = init_value;
+}
+size_t wire__suspects__get_packed_size
+                     (const Wire__Suspects *message)
+{
+  assert(message->base.descriptor == &wire__suspects__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__suspects__pack
+                     (const Wire__Suspects *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__suspects__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__suspects__pack_to_buffer
+                     (const Wire__Suspects *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__suspects__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Suspects *
+       wire__suspects__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Suspects *)
+     protobuf_c_message_unpack (&wire__suspects__descriptor,
+                                allocator, len, data);
+}
+void   wire__suspects__free_unpacked
+                     (Wire__Suspects *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__suspects__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor wire__msg__field_descriptors[22] =
 {
   {
@@ -1134,3 +1269,208 @@
   (ProtobufCMessageInit) wire__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wire__crash__field_descriptors[3] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Crash, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Crash, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Crash, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__crash__field_indices_by_name[] = {
+  2,   /* field[2] = age_us */
+  1,   /* field[1] = born_ms */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange wire__crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wire__crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Crash",
+  "Crash",
+  "Wire__Crash",
+  "wire",
+  sizeof(Wire__Crash),
+  3,
+  wire__crash__field_descriptors,
+  wire__crash__field_indices_by_name,
+  1,  wire__crash__number_ranges,
+  (ProtobufCMessageInit) wire__crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__suspect__field_descriptors[6] =
+{
+  {
+    "content_high",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Suspect, content_high),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_low",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Suspect, content_low),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Suspect, caller),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rounds",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Suspect, rounds),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "harmless",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Suspect, harmless),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Suspect, n_crashes),
+    offsetof(Wire__Suspect, crashes),
+    &wire__crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__suspect__field_indices_by_name[] = {
+  2,   /* field[2] = caller */
+  0,   /* field[0] = content_high */
+  1,   /* field[1] = content_low */
+  5,   /* field[5] = crashes */
+  4,   /* field[4] = harmless */
+  3,   /* field[3] = rounds */
+};
+static const ProtobufCIntRange wire__suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor wire__suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Suspect",
+  "Suspect",
+  "Wire__Suspect",
+  "wire",
+  sizeof(Wire__Suspect),
+  6,
+  wire__suspect__field_descriptors,
+  wire__suspect__field_indices_by_name,
+  1,  wire__suspect__number_ranges,
+  (ProtobufCMessageInit) wire__suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__suspects__field_descriptors[1] =
+{
+  {
+    "suspects",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__Suspects, n_suspects),
+    offsetof(Wire__Suspects, suspects),
+    &wire__suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__suspects__field_indices_by_name[] = {
+  0,   /* field[0] = suspects */
+};
+static const ProtobufCIntRange wire__suspects__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wire__suspects__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Suspects",
+  "Suspects",
+  "Wire__Suspects",
+  "wire",
+  sizeof(Wire__Suspects),
+  1,
+  wire__suspects__field_descriptors,
+  wire__suspects__field_indices_by_name,
+  1,  wire__suspects__number_ranges,
+  (ProtobufCMessageInit) wire__suspects__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/wire.pb-c.h
+++ b/wire.pb-c.h
@@ -22,6 +22,9 @@
 typedef struct Wire__Member Wire__Member;
 typedef struct Wire__Members Wire__Members;
 typedef struct Wire__Ask Wire__Ask;
+typedef struct Wire__Crash Wire__Crash;
+typedef struct Wire__Suspect Wire__Suspect;
+typedef struct Wire__Suspects Wire__Suspects;
 
 
 /* --- enums --- */
@@ -214,6 +217,63 @@
     , {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL} }
 
 
+/*
+ * A target that broke off under a request.
+ */
+struct  Wire__Crash
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its id
+   */
+  uint64_t target;
+  /*
+   * of that start of it
+   */
+  int64_t born_ms;
+  /*
+   * since then
+   */
+  int64_t age_us;
+};
+#define WIRE__CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__crash__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * Evidence that a request crashes targets.
+ */
+struct  Wire__Suspect
+{
+  ProtobufCMessage base;
+  uint64_t content_high;
+  uint64_t content_low;
+  uint64_t caller;
+  uint32_t rounds;
+  /*
+   * a target answered it: the evidence is void
+   */
+  protobuf_c_boolean harmless;
+  size_t n_crashes;
+  Wire__Crash **crashes;
+};
+#define WIRE__SUSPECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__suspect__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Wire__Suspects
+{
+  ProtobufCMessage base;
+  size_t n_suspects;
+  Wire__Suspect **suspects;
+};
+#define WIRE__SUSPECTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__suspects__descriptor) \
+    , 0,NULL }
+
+
 /* Wire__Msg methods */
 void   wire__msg__init
                      (Wire__Msg         *message);
@@ -347,6 +407,63 @@
 void   wire__ask__free_unpacked
                      (Wire__Ask *message,
                       ProtobufCAllocator *allocator);
+/* Wire__Crash methods */
+void   wire__crash__init
+                     (Wire__Crash         *message);
+size_t wire__crash__get_packed_size
+                     (const Wire__Crash   *message);
+size_t wire__crash__pack
+                     (const Wire__Crash   *message,
+                      uint8_t             *out);
+size_t wire__crash__pack_to_buffer
+                     (const Wire__Crash   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Crash *
+       wire__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__crash__free_unpacked
+                     (Wire__Crash *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__Suspect methods */
+void   wire__suspect__init
+                     (Wire__Suspect         *message);
+size_t wire__suspect__get_packed_size
+                     (const Wire__Suspect   *message);
+size_t wire__suspect__pack
+                     (const Wire__Suspect   *message,
+                      uint8_t             *out);
+size_t wire__suspect__pack_to_buffer
+                     (const Wire__Suspect   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Suspect *
+       wire__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__suspect__free_unpacked
+                     (Wire__Suspect *message,
+                      ProtobufCAllocator *allocator);
+/* Wire__Suspects methods */
+void   wire__suspects__init
+                     (Wire__Suspects         *message);
+size_t wire__suspects__get_packed_size
+                     (const Wire__Suspects   *message);
+size_t wire__suspects__pack
+                     (const Wire__Suspects   *message,
+                      uint8_t             *out);
+size_t wire__suspects__pack_to_buffer
+                     (const Wire__Suspects   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Suspects *
+       wire__suspects__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__suspects__free_unpacked
+                     (Wire__Suspects *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wire__Msg_Closure)
@@ -370,6 +487,15 @@
 typedef void (*Wire__Ask_Closure)
                  (const Wire__Ask *message,
                   void *closure_data);
+typedef void (*Wire__Crash_Closure)
+                 (const Wire__Crash *message,
+                  void *closure_data);
+typedef void (*Wire__Suspect_Closure)
+                 (const Wire__Suspect *message,
+                  void *closure_data);
+typedef void (*Wire__Suspects_Closure)
+                 (const Wire__Suspects *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -383,6 +509,9 @@
 extern const ProtobufCMessageDescriptor wire__member__descriptor;
 extern const ProtobufCMessageDescriptor wire__members__descriptor;
 extern const ProtobufCMessageDescriptor wire__ask__descriptor;
+extern const ProtobufCMessageDescriptor wire__crash__descriptor;
+extern const ProtobufCMessageDescriptor wire__suspect__descriptor;
+extern const ProtobufCMessageDescriptor wire__suspects__descriptor;
 
 PROTOBUF_C__END_DECLS
 
