From a blocked request to the targets that ended; real processes and a soak of it

Cause: a refusal for what other requests did cannot be explained by its own lines. Change: explain prints, for a request that is blocked or being tried, the broken connections and verdicts of the same content under other ids; error kind blocked, whose remedy is not to come back. In the soak a caller sends a deadly request to random nodes, and its targets end with all connections. Test: test_blocked_request_explained, real nodes and targets.

--- a/call.c
+++ b/call.c
@@ -613,6 +613,16 @@
 	return us - (int64_t)rng_below(&calls->rng, most);
 }
 
+static int code_of(const struct calls *calls, const struct call *call,
+		   int status)
+{
+	if (poison_verdict(calls->poison, &call->print) == POISON_BLOCKED)
+		return ERR_BLOCKED;
+	if (status == 503)
+		return ERR_OVERLOADED;
+	return status == 504 ? ERR_DEADLINE : ERR_BROKEN;
+}
+
 void call_refuse(struct calls *calls, struct call *call, int status,
 		 const char *why, int64_t retry_after_us)
 {
@@ -624,11 +634,8 @@
 
 	if (retry_after_us)
 		final.retry_after_us = call_spread(calls, retry_after_us);
-	error_json(&body,
-		   status == 503   ? ERR_OVERLOADED
-		   : status == 504 ? ERR_DEADLINE
-				   : ERR_BROKEN,
-		   why, final.retry_after_us / 1000);
+	error_json(&body, code_of(calls, call, status), why,
+		   final.retry_after_us / 1000);
 	final.body = buf_str(&body);
 	call_answer(calls, call, &final);
 	buf_free(&body);
--- a/error.c
+++ b/error.c
@@ -79,6 +79,9 @@
 	[-ERR_FRAME] = { "frame", 500,
 			 "run the same release on all VMs of the fleet" },
 	[-ERR_USAGE] = { "usage", 500, "see --help" },
+	[-ERR_BLOCKED] = { "blocked", 503,
+			   "do not send it again; have the operator look at "
+			   "the targets that ended under it" },
 };
 
 const struct error_info *error_info(int code)
--- a/error.h
+++ b/error.h
@@ -44,7 +44,8 @@
 	ERR_IO = -32,
 	ERR_FRAME = -33,
 	ERR_USAGE = -34,
-	ERR_LAST = -34,
+	ERR_BLOCKED = -35,
+	ERR_LAST = -35,
 };
 
 /**
--- a/explain.c
+++ b/explain.c
@@ -4,6 +4,7 @@
 
 #include <jansson.h>
 
+#include "event.h"
 #include "xmalloc.h"
 
 /** struct told - a line about the request */
@@ -14,11 +15,23 @@
 	size_t order;
 };
 
-struct explain {
-	struct str id;
+/** struct told_list - lines, in the order of the logs */
+struct told_list {
 	struct told *lines;
 	size_t count;
 	size_t cap;
+};
+
+/**
+ * struct explain - what the logs say
+ * @about: lines of the request
+ * @crashes: of any request under which connections broke, as what is known of
+ *           the one that is asked for may be known from others like it
+ */
+struct explain {
+	struct str id;
+	struct told_list about;
+	struct told_list crashes;
 	int left_out;
 };
 
@@ -61,6 +74,15 @@
 	{ "the target failed", "A target ran it and failed." },
 	{ "the merging node did not answer",
 	  "The node that was to ask targets did not answer in time." },
+	{ "it crashes the targets that run it",
+	  "It was refused at once, nothing ran: it is the same (content and "
+	  "caller) as requests that crashed each target that ran them. The "
+	  "lines above name these. It runs again once a target has answered "
+	  "it, or all nodes have been stopped and started." },
+	{ "it may crash targets and is being tried",
+	  "The same request broke off at several targets and was answered by "
+	  "none, so it is sent to one target at a time; another trial was "
+	  "under way. Its caller may come back." },
 	{ "the caller closed",
 	  "The caller closed before an answer was ready." },
 	{ "reply", "It was answered by its target, after the route's goal." },
@@ -87,36 +109,50 @@
 	       str_eq(str_of(json_string_value(request)), id);
 }
 
+static void keep(struct told_list *list, json_t *doc, json_t *event)
+{
+	if (list->count == list->cap) {
+		list->cap = list->cap ? list->cap * 2 : 16;
+		list->lines =
+			xrealloc(list->lines, list->cap * sizeof(*list->lines));
+	}
+	list->lines[list->count] = (struct told){ .when = text_of(doc, "time"),
+						  .node = text_of(doc, "node"),
+						  .event = json_incref(event),
+						  .order = list->count };
+	list->count++;
+}
+
+static bool says(json_t *event, const char *key, const char *text)
+{
+	const char *value = json_string_value(json_object_get(event, key));
+
+	return value && !strcmp(value, text);
+}
+
+static bool is_crash(json_t *event)
+{
+	return says(event, "result", fetch_result_text(FETCH_BROKEN)) ||
+	       says(event, "what", "request crashes targets");
+}
+
 void explain_line(struct explain *explain, struct str line)
 {
 	const char *brace = memchr(line.ptr ? line.ptr : "", '{', line.len);
 	json_t *doc;
 	json_t *event;
-	const char *note;
 
 	if (!brace)
 		return;
 	doc = json_loadb(brace, line.len - (size_t)(brace - line.ptr), 0, NULL);
 	event = json_object_get(doc, "event");
-	note = json_string_value(json_object_get(event, "note"));
-	if (note && !strcmp(note, "left_out"))
+	if (says(event, "note", "left_out"))
 		explain->left_out += (int)json_integer_value(
 			json_object_get(event, "lines"));
-	if (!is_about(event, explain->id)) {
-		json_decref(doc);
-		return;
-	}
-	if (explain->count == explain->cap) {
-		explain->cap = explain->cap ? explain->cap * 2 : 16;
-		explain->lines = xrealloc(
-			explain->lines, explain->cap * sizeof(*explain->lines));
-	}
-	explain->lines[explain->count] =
-		(struct told){ .when = text_of(doc, "time"),
-			       .node = text_of(doc, "node"),
-			       .event = json_incref(event),
-			       .order = explain->count };
-	explain->count++;
+	if (is_about(event, explain->id))
+		keep(&explain->about, doc, event);
+	else if (is_crash(event))
+		keep(&explain->crashes, doc, event);
 	json_decref(doc);
 }
 
@@ -129,7 +165,8 @@
 	return order ? order : x->order < y->order ? -1 : 1;
 }
 
-static void tell_line(const struct told *told, struct buf *out)
+/* @id: of the request that is explained, which goes without saying. */
+static void tell_line(const struct told *told, struct str id, struct buf *out)
 {
 	const char *key;
 	json_t *value;
@@ -139,7 +176,8 @@
 	{
 		char *text;
 
-		if (!strcmp(key, "request"))
+		if (!strcmp(key, "request") &&
+		    str_eq(str_of(json_string_value(value)), id))
 			continue;
 		text = json_dumps(value,
 				  JSON_ENCODE_ANY | JSON_REAL_PRECISION(6));
@@ -154,8 +192,8 @@
 {
 	json_t *gone = NULL;
 
-	for (size_t i = explain->count; i-- > 0;) {
-		json_t *event = explain->lines[i].event;
+	for (size_t i = explain->about.count; i-- > 0;) {
+		json_t *event = explain->about.lines[i].event;
 
 		if (json_object_get(event, "status") &&
 		    !json_object_get(event, "target"))
@@ -185,9 +223,36 @@
 			 "first, or its log is not among these.");
 }
 
+static bool is_alike(json_t *event, json_t *other, const char *key)
+{
+	json_t *value = json_object_get(event, key);
+
+	return value && json_equal(value, json_object_get(other, key));
+}
+
+/* What the same content did to targets under other ids, whoever sent it. */
+static void tell_crashes(const struct explain *explain, struct buf *out)
+{
+	json_t *event = last_word(explain);
+
+	if (!says(event, "why", "it crashes the targets that run it") &&
+	    !says(event, "why", "it may crash targets and is being tried"))
+		return;
+	buf_str_add(out, STR("The same content under other ids:\n"));
+	for (size_t i = 0; i < explain->crashes.count; i++)
+		if (is_alike(event, explain->crashes.lines[i].event, "content"))
+			tell_line(&explain->crashes.lines[i], explain->id, out);
+}
+
+static void sort(struct told_list *list)
+{
+	if (list->count)
+		qsort(list->lines, list->count, sizeof(*list->lines), by_time);
+}
+
 int explain_text(struct explain *explain, struct buf *out)
 {
-	if (!explain->count) {
+	if (!explain->about.count) {
 		buf_printf(out,
 			   "No line names %.*s: it was answered whole and in "
 			   "time, or none of these nodes took it, or its lines "
@@ -195,21 +260,29 @@
 			   STR_ARG(explain->id), explain->left_out);
 		return 0;
 	}
-	qsort(explain->lines, explain->count, sizeof(*explain->lines), by_time);
-	for (size_t i = 0; i < explain->count; i++)
-		tell_line(&explain->lines[i], out);
+	sort(&explain->about);
+	sort(&explain->crashes);
+	for (size_t i = 0; i < explain->about.count; i++)
+		tell_line(&explain->about.lines[i], explain->id, out);
+	tell_crashes(explain, out);
 	tell_cause(explain, out);
-	return (int)explain->count;
+	return (int)explain->about.count;
 }
 
-void explain_destroy(struct explain *explain)
+static void free_list(struct told_list *list)
 {
-	for (size_t i = 0; i < explain->count; i++) {
-		str_free(explain->lines[i].when);
-		str_free(explain->lines[i].node);
-		json_decref(explain->lines[i].event);
+	for (size_t i = 0; i < list->count; i++) {
+		str_free(list->lines[i].when);
+		str_free(list->lines[i].node);
+		json_decref(list->lines[i].event);
 	}
-	free(explain->lines);
+	free(list->lines);
+}
+
+void explain_destroy(struct explain *explain)
+{
+	free_list(&explain->about);
+	free_list(&explain->crashes);
 	str_free(explain->id);
 	free(explain);
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,6 +19,8 @@
 PATIENCE_S = 4.0
 ROUTES = {"all": "/all/", "one": "/one/", "once": "/once/"}
 SERVED_AT_LAST = 0.9
+# Tries of a deadly request that may run once this long after its third crash.
+LATE_MOST, STABLE_S = 3, 4.0
 
 
 class Fleet:
@@ -40,6 +42,7 @@
     async def add_leaf(self, service, zone):
         leaf = standins.Leaf(f"i{len(self.leafs)}", service, zone, self.books,
                              WORK_S)
+        leaf.crash = self.crash_leaf
         await leaf.start()
         proxy = standins.Proxy(lambda: leaf.port)
         await proxy.start()
@@ -161,6 +164,19 @@
         leaf.drained_at = time.monotonic()
         self.publish(leaf)
 
+    def crash_leaf(self, leaf):
+        """It ends with all its connections, and comes back."""
+        proxy = self.proxies[leaf.id]
+        proxy.refuses = True
+        proxy.reset()
+        asyncio.create_task(self.return_leaf(leaf, proxy))
+
+    async def return_leaf(self, leaf, proxy):
+        await asyncio.sleep(self.rng.uniform(0.6, 1.2))
+        proxy.refuses = False
+        leaf.born += 1
+        self.publish(leaf)
+
     async def store_down(self):
         self.store.down = self.rng.choice((True, "silent"))
         await asyncio.sleep(1.5)
@@ -221,14 +237,14 @@
     def fault(self, text):
         self.faults.append(text)
 
-    async def ask(self, node, kind, request_id):
+    async def ask(self, node, kind, request_id, path=None):
         """One request on a connection of its own; status, headers, body."""
         self.kinds[request_id] = kind
         reader, writer = await asyncio.wait_for(asyncio.open_connection(
             self.ip(node), self.args.port + 11), 1.0)
         body = b"x" * 40 if kind == "once" else b""
         method = "POST" if kind == "once" else "GET"
-        head = (f"{method} {ROUTES[kind]}{request_id} HTTP/1.1\r\n"
+        head = (f"{method} {ROUTES[kind]}{path or request_id} HTTP/1.1\r\n"
                 f"Host: h.example\r\nRequest-Id: {request_id}\r\n"
                 f"Request-Deadline: {TIMEOUT_MS}\r\n"
                 f"Content-Length: {len(body)}\r\n\r\n")
@@ -261,6 +277,31 @@
             self.answers.append((start, kind, got))
             await asyncio.sleep(self.rng.uniform(0.005, 0.05))
 
+    async def deadly_caller(self):
+        """A request that ends each target that runs it, again and again."""
+        count = 0
+        while not self.stopping:
+            node = self.rng.randrange(self.args.nodes)
+            request_id = f"{os.getpid()}-{standins.DEADLY}-{count}"
+            count += 1
+            try:
+                await asyncio.wait_for(
+                    self.ask(node, "all", request_id, standins.DEADLY),
+                    PATIENCE_S)
+            except (OSError, asyncio.IncompleteReadError, ValueError,
+                    asyncio.TimeoutError):
+                pass
+            await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+
+    def judge_deadly(self):
+        crashes = sorted(self.books.crashes)
+        if len(crashes) < 3:
+            return
+        late = {r for t, r in crashes if t > crashes[2][0] + STABLE_S}
+        if len(late) > LATE_MOST:
+            self.fault(f"{len(late)} late tries of a deadly request ran, "
+                       f"{len(crashes)} targets ended")
+
     def judge(self, kind, request_id, got):
         if got in (None, "held"):
             return
@@ -384,6 +425,7 @@
     async def run(self):
         await self.begin()
         callers = [asyncio.create_task(self.caller(i)) for i in range(CLIENTS)]
+        callers.append(asyncio.create_task(self.deadly_caller()))
         await self.trouble(time.monotonic() + self.args.seconds)
         await asyncio.sleep(3.0)
         await self.served_at_last()
@@ -392,6 +434,7 @@
         # What still stands open is cancelled with the loop, without a word.
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         self.judge_books()
+        self.judge_deadly()
 
     def close(self):
         for proc in self.procs.values():
--- a/soak/standins.py
+++ b/soak/standins.py
@@ -12,6 +12,7 @@
 import time
 
 RECORD = 16
+DEADLY = "deadly"  # in the path: each target that runs it ends
 RECORDS = 3
 
 
@@ -119,6 +120,7 @@
     def __init__(self):
         self.runs = {}
         self.late_arrivals = []
+        self.crashes = []  # when, request, of each target that one ended
 
     def ran(self, request_id, leaf):
         self.runs.setdefault(request_id, []).append(leaf)
@@ -136,6 +138,8 @@
         self.paused_until = 0.0
         self.server = None
         self.port = 0
+        self.born = int(time.time() * 1000)
+        self.crash = None  # what the driver does when it ends
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1",
@@ -146,7 +150,7 @@
         state = "draining" if self.drained_at else "ready"
         return {"service": self.service, "addr": addr, "zone": self.zone,
                 "version": "v1", "slots": 2, "state": state,
-                "cold_left_ms": 0, "seq": 1}
+                "cold_left_ms": 0, "seq": 1, "born": self.born}
 
     async def answer(self, head, body):
         request_id = head[1].get("request-id", "")
@@ -161,7 +165,10 @@
             pause = self.paused_until - time.monotonic()
             await asyncio.sleep(max(pause, 0) + self.work *
                                 random.uniform(0.5, 1.5))
-        if random.random() < self.lose:
+        if DEADLY in head[0]:
+            self.books.crashes.append((time.monotonic(), request_id))
+            self.crash(self)
+        if DEADLY in head[0] or random.random() < self.lose:
             return None
         parts = part_records(self.id, request_id)
         random.shuffle(parts)
@@ -195,7 +202,7 @@
     def __init__(self, port_of):
         self.port_of = port_of
         self.delay = 0.0
-        self.silent = self.one_way = False
+        self.silent = self.one_way = self.refuses = False
         self.conns = set()
         self.server = None
 
@@ -222,6 +229,9 @@
             writer.close()
 
     async def serve(self, reader, writer):
+        if self.refuses:
+            writer.transport.abort()
+            return
         try:
             to_reader, to_writer = await asyncio.open_connection(
                 "127.0.0.1", self.port_of())
--- a/tests/tier_process.py
+++ b/tests/tier_process.py
@@ -68,6 +68,34 @@
     run_case(port + 2, "all", spoil, 200, "soft deadline")
 
 
+def test_blocked_request_explained(port):
+    """A request that crashes its targets is refused; the log leads to them."""
+    args = argparse.Namespace(nodes=3, net=NET + 9, port=port + 4, seconds=1)
+    fleet = Fleet(os.environ["BUILD"] + "/wasabimoor", SEED, args)
+
+    async def go():
+        await fleet.begin()
+        for i in range(8):
+            got = await fleet.ask(i % 3, "all", f"deadly-{i}", "deadly")
+            assert got[0] in (502, 503), got
+            await asyncio.sleep(1.4)
+        assert got[0] == 503, got
+        # Its caller may ask other things, which are answered.
+        got = await fleet.ask(0, "all", "harmless-1")
+        assert got[0] == 200, got
+        story = explain(fleet, "deadly-7")
+        crashed = fleet.books.crashes[0][1]
+        assert "crashed each target that ran them" in story, story
+        assert f'request="{crashed}"' in story, story
+        assert 'result="connection broke"' in story, story
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+
+    try:
+        asyncio.run(go())
+    finally:
+        fleet.close()
+
+
 def test_stopped_reader(port):
     """Nobody reads a node's output: it serves on as before."""
     args = argparse.Namespace(nodes=1, net=NET + 8, port=port + 3, seconds=1)
@@ -94,4 +122,5 @@
 
 
 TESTS = [test_refusal_explained, test_unknown_outcome_explained,
-         test_partial_answer_explained, test_stopped_reader]
+         test_partial_answer_explained, test_stopped_reader,
+         test_blocked_request_explained]
