The product's own interface stops questions that crash their targets

What callers saw: a question crashed all targets of its index each time that it came, and at all replicas, as serve retries up to six times a shard and waits for targets that restart. Change: front_poison.c holds a front's questions to the same evidence (poison.c): the gate says in its reply which process of the target broke; a suspect question goes to one target at a time, without hedges and retries; a blocked one is refused with kind blocked, or ends with its shards missing as blocked, and leaves a line in the audit trail. News goes to all nodes at once, heartbeats carry the digest. A target whose same process has answered since did not end. poison.c knows targets and poison_news.c nodes through tables of functions now, one for each engine. Ruled out: leave for trials as in the tier: nodes that have it at the same moment may each try it; no promise here counts that. Entries that crash their targets run once a ticket, as before: nobody retries them but callers.

--- a/call.c
+++ b/call.c
@@ -466,6 +466,9 @@
 			  const struct attempt *attempt,
 			  const struct flow_reply *reply)
 {
+	struct poison_crash crash = { .key = attempt->target->key,
+				      .born_ms = attempt->target->born_ms,
+				      .at = calls->now };
 	const struct poison_entry *entry;
 
 	if (call && judge(reply) == REPLY_GOOD)
@@ -475,7 +478,7 @@
 	    (call ? call->served : attempt->served))
 		return;
 	entry = poison_broke(calls->poison, &attempt->print, attempt->round,
-			     attempt->target, calls->now);
+			     &crash);
 	if (!entry)
 		return;
 	note_suspect(calls->notes, calls->now, calls->poison, entry,
--- a/call.h
+++ b/call.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "budget.h"
-#include "fingerprint.h"
+#include "flow.h"
 #include "latency.h"
 #include "line.h"
 #include "poison.h"
--- a/fingerprint.c
+++ b/fingerprint.c
@@ -16,19 +16,18 @@
  * A cryptographic hash: with any other a caller could make a request of the
  * same fingerprint as somebody else's, and have that one taken for its own.
  */
-struct fingerprint fingerprint_of(const struct flow_request *request)
+struct fingerprint fingerprint_of(const struct str *parts, size_t count,
+				  struct str caller)
 {
 	unsigned char digest[APR_SHA1_DIGESTSIZE];
 	struct fingerprint print;
 	struct apr_sha1_ctx_t sha;
 
 	apr_sha1_init(&sha);
-	add(&sha, request->method);
-	add(&sha, request->host);
-	add(&sha, request->uri);
-	add(&sha, request->body);
+	for (size_t i = 0; i < count; i++)
+		add(&sha, parts[i]);
 	apr_sha1_final(digest, &sha);
 	memcpy(print.content, digest, sizeof(print.content));
-	print.caller = str_hash(request->caller);
+	print.caller = str_hash(caller);
 	return print;
 }
--- a/fingerprint.h
+++ b/fingerprint.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "flow.h"
+#include "str.h"
 
 /**
  * DOC: which requests are the same one
@@ -11,7 +11,7 @@
 
 /**
  * struct fingerprint - a request without its id
- * @content: of method, host, path, query and body
+ * @content: of all that is asked
  * @caller: of who sent it
  */
 struct fingerprint {
@@ -19,4 +19,6 @@
 	uint64_t caller;
 };
 
-struct fingerprint fingerprint_of(const struct flow_request *request);
+/** fingerprint_of() - @parts: all that is asked, in a fixed order. */
+struct fingerprint fingerprint_of(const struct str *parts, size_t count,
+				  struct str caller);
--- a/flow.c
+++ b/flow.c
@@ -8,6 +8,15 @@
 	FIRST_CAP = 64,
 };
 
+struct fingerprint flow_fingerprint(const struct flow_request *request)
+{
+	struct str parts[] = { request->method, request->host, request->uri,
+			       request->body };
+
+	return fingerprint_of(parts, sizeof(parts) / sizeof(*parts),
+			      request->caller);
+}
+
 void flow_effects_init(struct flow_effects *fx, apr_pool_t *parent)
 {
 	*fx = (struct flow_effects){ 0 };
--- a/flow.h
+++ b/flow.h
@@ -2,6 +2,7 @@
 
 #include "dialect.h"
 #include "event.h"
+#include "fingerprint.h"
 
 /**
  * DOC: what goes into the tier's reducer and what comes out
@@ -180,6 +181,8 @@
 	size_t cap;
 };
 
+/** flow_fingerprint() - of method, host, path, query and body. */
+struct fingerprint flow_fingerprint(const struct flow_request *request);
 void flow_effects_init(struct flow_effects *fx, apr_pool_t *parent);
 struct flow_effect *flow_add(struct flow_effects *fx,
 			     enum flow_effect_type type);
--- a/front.c
+++ b/front.c
@@ -6,6 +6,7 @@
 #include <apr_tables.h>
 
 #include "answer.h"
+#include "front_poison.h"
 #include "latency.h"
 #include "quota.h"
 #include "replica.h"
@@ -16,6 +17,8 @@
 	REROUTES_MAX = 4,
 	REROUTE_US = 20000,
 	REROUTE_FACTOR = 3,
+	/* A leaf that waits for the trial of its question looks again. */
+	HOLD_US = 10000,
 	BUDGET_MAX = 256,
 	BUDGET_START = 32,
 	HEDGED_ATTEMPTS = 3,
@@ -40,6 +43,7 @@
 	front->config.hedge = true;
 	front->config.admission = true;
 	front->config.hedge_quantile = HEDGE_QUANTILE;
+	front_poison_init(node);
 }
 
 void front_destroy(struct node *node)
@@ -63,6 +67,7 @@
 		free(value);
 	}
 	free(front->latency);
+	front_poison_destroy(node);
 	apr_pool_destroy(front->pool);
 	free(front);
 }
@@ -141,6 +146,7 @@
 		.sent_at = node->now,
 		.open = true,
 		.hedge = hedge,
+		.round = poison_round(&node->front->poison, &q->print),
 	};
 	leaf->nattempts++;
 	leaf->retry_at = 0;
@@ -234,6 +240,30 @@
 	return true;
 }
 
+/* Until a target has answered it, or it is blocked. */
+static void hold(struct node *node, const struct question *q, struct leaf *leaf)
+{
+	leaf->retry_at = node->now + HOLD_US;
+	timer_add(&node->timers, leaf->retry_at, TIMER_QUESTION, q->id);
+}
+
+/* Ends what must not be sent any more; its missing shards say why. */
+static bool stop_if_blocked(struct node *node, struct question *q)
+{
+	if (!front_blocked(node, q))
+		return false;
+	for (size_t i = 0; i < q->nleafs; i++) {
+		struct leaf *leaf = &q->leafs[i];
+
+		if (leaf->state != LEAF_OPEN)
+			continue;
+		front_close_all(node, q, leaf);
+		set_missing(node, q, leaf, ERR_BLOCKED);
+	}
+	front_finish(node, q, 0);
+	return true;
+}
+
 static bool any_open(const struct leaf *leaf)
 {
 	for (uint32_t i = 0; i < leaf->nattempts; i++)
@@ -273,6 +303,10 @@
 	leaf->why = why;
 	if (any_open(leaf) || leaf->retry_at)
 		return true;
+	if (front_suspect(node, q)) {
+		hold(node, q, leaf);
+		return true;
+	}
 	if (leaf->nattempts == LEAF_ATTEMPTS ||
 	    !replica_choose(node, q, leaf, false))
 		return set_missing(node, q, leaf, why);
@@ -307,6 +341,10 @@
 		struct fleet_target *target =
 			replica_choose(node, q, leaf, true);
 
+		if (target && !front_may_send(node, q)) {
+			hold(node, q, leaf);
+			continue;
+		}
 		if (!target) {
 			leaf->state = LEAF_MISSING;
 			leaf->why = ERR_NO_REPLICA;
@@ -430,6 +468,7 @@
 		q->worst_wait = msg->wait_us;
 	if (!status) {
 		replica_answered(node, attempt);
+		front_target_served(node, q, attempt, msg);
 		merge(node, q, leaf, attempt, msg);
 	} else if (status == ERR_TOO_LARGE) {
 		front_close_all(node, q, leaf);
@@ -438,6 +477,10 @@
 		if (status == ERR_QUEUE_FULL)
 			q->worst_wait = q->plan.soft_us;
 		replica_failed(node, q, attempt, status);
+		if (status == ERR_BROKEN)
+			front_target_broke(node, q, attempt, msg);
+		if (stop_if_blocked(node, q))
+			return;
 		fail_over(node, q, leaf, status, msg->ran);
 	}
 	if (front_is_done(q))
@@ -454,6 +497,10 @@
 		if (leaf->state != LEAF_OPEN || !leaf->retry_at ||
 		    node->now < leaf->retry_at)
 			continue;
+		if (!front_may_send(node, q)) {
+			hold(node, q, leaf);
+			continue;
+		}
 		leaf->retry_at = 0;
 
 		struct fleet_target *target =
@@ -473,6 +520,8 @@
 
 	if (!q || q->waiting)
 		return;
+	if (stop_if_blocked(node, q))
+		return;
 	if (node->now >= q->soft_at)
 		q->soft_passed = true;
 	if (node->now < q->hard_at)
@@ -485,7 +534,8 @@
 static bool hedge_leaf(struct node *node, struct question *q, struct leaf *leaf,
 		       int64_t delay)
 {
-	if (leaf->state != LEAF_OPEN || !leaf->nattempts)
+	if (leaf->state != LEAF_OPEN || !leaf->nattempts ||
+	    front_suspect(node, q))
 		return true;
 
 	const struct attempt *last = &leaf->attempts[leaf->nattempts - 1];
--- a/front.h
+++ b/front.h
@@ -2,6 +2,7 @@
 
 #include "ask.h"
 #include "member.h"
+#include "poison_news.h"
 
 /**
  * DOC: front
@@ -22,6 +23,7 @@
  * @sent_at: microseconds
  * @open: no reply yet
  * @hedge: sent beside an open one
+ * @round: for evidence against the question
  */
 struct attempt {
 	struct fleet_target *target;
@@ -30,6 +32,7 @@
 	int64_t sent_at;
 	bool open;
 	bool hedge;
+	int round;
 };
 
 enum leaf_state {
@@ -67,6 +70,8 @@
  * @open_leafs: leafs in state LEAF_OPEN
  * @base: attempt numbers of this run start here (restart on a new snapshot)
  * @worst_wait: longest time in a gate's queue
+ * @print: tells whether it has come before
+ * @served: some target has answered a leaf request of it
  * @bytes: rows merged so far; bounded, so that one question cannot take the
  *         memory of all
  */
@@ -91,6 +96,8 @@
 	bool restarted;
 	bool soft_passed;
 	int64_t worst_wait;
+	struct fingerprint print;
+	bool served;
 	size_t bytes;
 	uint32_t sent;
 	uint32_t hedges;
@@ -110,6 +117,8 @@
 	apr_hash_t *questions; /* id -> struct question */
 	apr_hash_t *callers; /* caller -> struct question */
 	apr_hash_t *targets; /* key -> struct replica */
+	struct poison poison;
+	struct poison_news news;
 	size_t open;
 	double limit; /* questions open at a time, steered */
 	int64_t limit_at; /* last time that it was lowered */
--- a/front_admit.c
+++ b/front_admit.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <apr_tables.h>
 #include "answer.h"
+#include "front_poison.h"
 #include "latency.h"
 #include "quota.h"
 #include "replica.h"
@@ -114,6 +115,20 @@
 			  TIMER_HEDGE, q->id);
 }
 
+/* What the targets are asked, and for whom; not the caller's own id. */
+static struct fingerprint fingerprint(const struct ask *ask)
+{
+	struct str parts[ASK_MAX_INDEXES + 2];
+	size_t count = 0;
+
+	parts[count++] = ask->terms;
+	parts[count++] = (struct str){ (const char *)ask->shards,
+				       ask->nshards * sizeof(*ask->shards) };
+	for (size_t i = 0; i < ask->nindexes; i++)
+		parts[count++] = ask->indexes[i];
+	return fingerprint_of(parts, count, ask->customer);
+}
+
 static struct question *question_create(struct node *node, uint64_t caller,
 					apr_pool_t *pool, const struct ask *ask,
 					const struct plan *plan)
@@ -132,6 +147,7 @@
 	q->soft_at = node->now + plan->soft_us;
 	if (q->soft_at > q->hard_at)
 		q->soft_at = q->hard_at;
+	q->print = fingerprint(ask);
 	apr_hash_set(node->front->questions, &q->id, sizeof(q->id), q);
 	apr_hash_set(node->front->callers, &q->caller, sizeof(q->caller), q);
 	node->front->open++;
@@ -180,6 +196,13 @@
 
 	struct question *q = question_create(node, caller, pool, &ask, plan);
 
+	poison_asked(&node->front->poison, &q->print, node->now);
+	if (front_blocked(node, q)) {
+		refuse(node, caller, ERR_BLOCKED,
+		       "it crashes the targets that run it", 0);
+		drop(node, q);
+		return;
+	}
 	switch (quota_take(node, ask.customer, plan, q->id, &retry_us)) {
 	case QUOTA_TAKEN:
 		begin(node, q);
--- a/gate.c
+++ b/gate.c
@@ -137,6 +137,7 @@
 		.ran = ran,
 		.wait_us = started - job->queued_at,
 		.service_us = node->now - started,
+		.hash = status ? job->boot : job->target->boot,
 		.body = body,
 	};
 
@@ -267,6 +268,7 @@
 	if (!job->is_entry) {
 		job->state = JOB_RUNNING;
 		job->started_at = node->now;
+		job->boot = target->boot;
 		fetch(node, job, FETCH_LEAF, (struct str){ 0 });
 		timer_add(&node->timers, job->deadline, TIMER_JOB, job->number);
 		return;
--- a/gate.h
+++ b/gate.h
@@ -24,6 +24,7 @@
  * @origin, @incarnation, @id, @attempt: who asked, as a key for replies
  * @is_entry: runs in two steps and never twice
  * @deadline: no start after this time, microseconds
+ * @boot: id of the process that it was sent to, 0 when it is not known
  * @cancelled: the front gave up; the slot stays taken until the target ends
  * @replied: the front has its reply
  */
@@ -45,6 +46,7 @@
 	int64_t queued_at;
 	int64_t started_at;
 	int64_t deadline;
+	uint64_t boot;
 	bool cancelled;
 	bool replied;
 };
--- a/member.c
+++ b/member.c
@@ -6,6 +6,7 @@
 
 #include "conf.h"
 #include "front.h"
+#include "front_poison.h"
 #include "gate.h"
 #include "once.h"
 #include "xmalloc.h"
@@ -173,6 +174,7 @@
 		.state = node->member->vms[0]->state,
 		.fresh_us = fresh_age(node),
 		.name = node->opt.domain,
+		.key = front_poison_digest(node),
 	};
 
 	if (node->lists) {
@@ -298,6 +300,7 @@
 	sweep(node);
 	note_isolation(node);
 	conf_look(node, fresh_age(node));
+	front_poison_sweep(node);
 	timer_add(&node->timers, node->now + HEARTBEAT_US, TIMER_HEARTBEAT, 0);
 }
 
@@ -368,6 +371,7 @@
 	}
 	conf_offered(node, vm, DOC_LISTS, msg->version, msg->hash);
 	conf_offered(node, vm, DOC_FLEET, msg->version2, msg->hash2);
+	front_poison_heard(node, from, msg->key);
 	/*
 	 * After a pause the socket still holds heartbeats from before it; only
 	 * the answer to a probe sent since then shows that the view is new.
--- a/msg.h
+++ b/msg.h
@@ -81,11 +81,13 @@
  * @wait_us: time in the gate's queue, microseconds
  * @service_us: time from dispatch to reply, microseconds
  * @doc: enum doc_kind
- * @hash: hash of a document (of the lists in HEARTBEAT)
+ * @hash: hash of a document (of the lists in HEARTBEAT); in LEAF_REPLY the
+ *        boot id of the target
  * @state: enum vm_state of the sender; in LEAF, 1 for a hedge or retry
  * @fresh_us: age of the newest platform reading known, microseconds
  * @amount: tokens asked for or lent
- * @key: ticket sequence or customer hash
+ * @key: ticket sequence or customer hash; in HEARTBEAT the digest of evidence
+ *       against requests
  * @name: customer, index or failure domain
  * @body: rows, entry or document
  * @text: terms, request id or reason
--- a/node.c
+++ b/node.c
@@ -4,6 +4,7 @@
 
 #include "conf.h"
 #include "front.h"
+#include "front_poison.h"
 #include "gate.h"
 #include "health.h"
 #include "member.h"
@@ -274,6 +275,7 @@
 	[MSG_LEASE] = { quota_lease },
 	[MSG_LEASE_REPLY] = { on_lease_reply },
 	[MSG_HANDOVER] = { gate_handover },
+	[MSG_SUSPECTS] = { front_suspects },
 };
 
 static void on_msg(struct node *node, struct str from, uint64_t incarnation,
--- a/poison.c
+++ b/poison.c
@@ -37,10 +37,11 @@
 
 static const int64_t SUSPECT_KEPT_US = SUSPECT_KEPT_S * 1000000LL;
 
-void poison_init(struct poison *poison, apr_pool_t *pool, struct roster *roster)
+void poison_init(struct poison *poison, apr_pool_t *pool,
+		 struct poison_targets targets)
 {
-	*poison =
-		(struct poison){ .entries = hash_make(pool), .roster = roster };
+	*poison = (struct poison){ .entries = hash_make(pool),
+				   .targets = targets };
 	poison->served = xcalloc(POISON_SERVED_MAX, sizeof(*poison->served));
 }
 
@@ -289,22 +290,20 @@
 	       entry->rounds > before->rounds;
 }
 
-const struct poison_entry *
-poison_broke(struct poison *poison, const struct fingerprint *print, int round,
-	     const struct live_target *target, int64_t now)
+const struct poison_entry *poison_broke(struct poison *poison,
+					const struct fingerprint *print,
+					int round,
+					const struct poison_crash *crash)
 {
-	struct poison_crash crash = { .key = target->key,
-				      .born_ms = target->born_ms,
-				      .at = now };
 	struct poison_entry *entry;
 	struct poison_entry before;
 
-	if (was_served(poison, print, now))
+	if (was_served(poison, print, crash->at))
 		return NULL;
-	entry = get(poison, print, now);
+	entry = get(poison, print, crash->at);
 	before = *entry;
 	entry->harmless = false;
-	if (add_crash(entry, &crash) && round > entry->rounds)
+	if (add_crash(entry, crash) && round > entry->rounds)
 		entry->rounds = round;
 	if (!has_grown(entry, &before))
 		return NULL;
@@ -381,7 +380,7 @@
 		       const struct poison_crash *crash, int64_t now)
 {
 	return now - crash->at > SETTLE_US &&
-	       roster_lists(poison->roster, crash->key, crash->born_ms);
+	       poison->targets.lives(poison->targets.ctx, crash);
 }
 
 /* Return: the entry if @from brought something new, else NULL. */
--- a/poison.h
+++ b/poison.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "fingerprint.h"
-#include "roster.h"
 
 /**
  * DOC: requests that crash the targets that run them
@@ -46,6 +45,16 @@
 	bool settled;
 };
 
+/**
+ * struct poison_targets - what is known of targets
+ * @lives: the one of @crash has not ended; asked long after its connection
+ *         broke
+ */
+struct poison_targets {
+	bool (*lives)(const void *ctx, const struct poison_crash *crash);
+	const void *ctx;
+};
+
 /**
  * struct poison_entry - evidence against a request of one caller
  * @rounds: breaks of sends that were made after the round before had broken
@@ -84,13 +93,13 @@
 struct poison {
 	apr_hash_t *entries;
 	struct poison_served *served;
-	struct roster *roster;
+	struct poison_targets targets;
 	size_t count;
 	bool has_news;
 };
 
 void poison_init(struct poison *poison, apr_pool_t *pool,
-		 struct roster *roster);
+		 struct poison_targets targets);
 void poison_destroy(struct poison *poison);
 enum poison_verdict poison_verdict(const struct poison *poison,
 				   const struct fingerprint *print);
@@ -100,13 +109,15 @@
 /** poison_round() - which round a send made now belongs to, from 1 on. */
 int poison_round(const struct poison *poison, const struct fingerprint *print);
 /**
- * poison_broke() - a connection broke under the request, sent in @round
+ * poison_broke() - a connection broke at a target that ran the request
+ * @round: that it was sent in
  *
  * Return: the entry if it tells something new, else NULL.
  */
-const struct poison_entry *
-poison_broke(struct poison *poison, const struct fingerprint *print, int round,
-	     const struct live_target *target, int64_t now);
+const struct poison_entry *poison_broke(struct poison *poison,
+					const struct fingerprint *print,
+					int round,
+					const struct poison_crash *crash);
 /**
  * poison_served() - a target answered it
  *
--- a/poison_news.c
+++ b/poison_news.c
@@ -2,12 +2,14 @@
 
 #include <stdlib.h>
 
+#include "parcel.h"
 #include "xmalloc.h"
 
 enum {
-	/* Up to so many nodes are told directly, more of them by relays. */
-	DIRECT_NODES = 32,
-	/* Of whom each relay tells so many: five steps reach 910 nodes. */
+	/*
+	 * More nodes than can be told directly are told by relays, each of
+	 * which tells so many: five steps reach 910 nodes.
+	 */
 	RELAY_FANOUT = 8,
 	/* Entries a message, some 200 bytes each. */
 	ENTRIES_A_MESSAGE = 64,
@@ -17,19 +19,28 @@
 
 /* Sending. */
 
-static void send_list(struct poison_news *news, struct str addr,
-		      struct poison_entry *const *list, size_t count,
-		      bool answer, int64_t now)
+/** struct letter - where evidence goes; @to is empty for @most nodes */
+struct letter {
+	struct str to;
+	size_t most;
+	bool answer;
+};
+
+static void send_list(struct poison_news *news, const struct letter *letter,
+		      struct poison_entry *const *list, size_t count, bool last,
+		      int64_t now)
 {
-	struct flow_effect *fx = flow_add(news->fx, FLOW_PEER_SEND);
 	struct buf body = { 0 };
+	struct msg msg = { .kind = MSG_SUSPECTS,
+			   .state = letter->answer && last,
+			   .hash = poison_digest(news->poison) };
 
 	parcel_suspects(list, count, now, &body);
-	fx->addr = str_dup(news->fx->pool, addr);
-	fx->msg.kind = MSG_SUSPECTS;
-	fx->msg.state = answer;
-	fx->msg.hash = poison_digest(news->poison);
-	fx->msg.body = str_dup(news->fx->pool, buf_str(&body));
+	msg.body = buf_str(&body);
+	if (letter->to.len)
+		news->links.send(news->links.ctx, letter->to, &msg);
+	else
+		news->links.spread(news->links.ctx, &msg, letter->most);
 	buf_free(&body);
 }
 
@@ -51,9 +62,9 @@
 	return list;
 }
 
-static void send_all_of(struct poison_news *news, struct str addr,
+static void send_all_of(struct poison_news *news, const struct letter *letter,
 			struct poison_entry *const *list, size_t count,
-			bool answer, int64_t now)
+			int64_t now)
 {
 	size_t sent = 0;
 
@@ -62,37 +73,37 @@
 				      ? count - sent
 				      : ENTRIES_A_MESSAGE;
 
-		/* Only the last one asks: it comes after all others. */
-		send_list(news, addr, list + sent, part,
-			  answer && sent + part == count, now);
+		send_list(news, letter, list + sent, part, sent + part == count,
+			  now);
 		sent += part;
 	} while (sent < count);
 }
 
+static bool is_large(const struct poison_news *news)
+{
+	return news->links.count(news->links.ctx) > POISON_SPREAD_MAX;
+}
+
 void poison_news_send(struct poison_news *news, int64_t now)
 {
-	struct member_info *members[DIRECT_NODES];
+	struct letter letter = { .most = POISON_SPREAD_MAX };
 	struct poison_entry **list;
-	size_t nmembers;
 	size_t count;
 
 	if (!news->poison->has_news)
 		return;
 	news->poison->has_news = false;
+	if (is_large(news))
+		letter.most = RELAY_FANOUT;
 	list = collect(news, false, &count);
-	nmembers = gossip_pick(news->gossip,
-			       gossip_count(news->gossip) > DIRECT_NODES
-				       ? RELAY_FANOUT
-				       : DIRECT_NODES,
-			       now, members);
-	for (size_t i = 0; count && i < nmembers; i++)
-		send_all_of(news, members[i]->addr, list, count, false, now);
+	if (count)
+		send_all_of(news, &letter, list, count, now);
 	for (size_t i = 0; i < count; i++)
 		list[i]->news = false;
 	free(list);
 }
 
-static void send_whole(struct poison_news *news, struct str addr, bool answer,
+static void send_whole(struct poison_news *news, const struct letter *letter,
 		       int64_t now)
 {
 	struct poison_entry **list;
@@ -102,33 +113,37 @@
 		return;
 	list = collect(news, true, &count);
 	news->whole_at = now + (int64_t)count * WHOLE_ENTRY_US;
-	send_all_of(news, addr, list, count, answer, now);
+	send_all_of(news, letter, list, count, now);
 	free(list);
 }
 
 void poison_news_digest(struct poison_news *news, struct str from,
 			uint64_t digest, int64_t now)
 {
+	struct letter letter = { .to = from, .answer = true };
+
 	if (digest != poison_digest(news->poison))
-		send_whole(news, from, true, now);
+		send_whole(news, &letter, now);
 }
 
 /* Receiving. */
 
 void poison_news_msg(struct poison_news *news, struct str from,
-		     const struct msg *msg, bool store_fresh, int64_t now)
+		     const struct msg *msg, bool targets_known, int64_t now)
 {
-	bool relays = gossip_count(news->gossip) > DIRECT_NODES;
+	struct letter letter = { .to = from };
+	bool relay = is_large(news);
 	struct poison_entry *list;
 	apr_pool_t *pool;
 	size_t count;
 
-	apr_pool_create(&pool, news->gossip->pool);
+	apr_pool_create(&pool, news->pool);
 	if (!parcel_open_suspects(msg->body, now, pool, &list, &count))
 		for (size_t i = 0; i < count; i++)
-			poison_take(news->poison, &list[i], relays, store_fresh,
-				    now);
+			poison_take(news->poison, &list[i], relay,
+				    targets_known, now);
 	apr_pool_destroy(pool);
 	if (msg->state && msg->hash != poison_digest(news->poison))
-		send_whole(news, from, false, now);
+		send_whole(news, &letter, now);
+	poison_news_send(news, now);
 }
--- a/poison_news.h
+++ b/poison_news.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gossip.h"
+#include "msg.h"
 #include "poison.h"
 
 /**
@@ -11,14 +11,33 @@
  * missed some of it, or has just started, is sent all.
  */
 
+enum {
+	/* Nodes that are told at a time. */
+	POISON_SPREAD_MAX = 32,
+};
+
+/**
+ * struct poison_links - how nodes reach each other
+ * @count: how many others there are
+ * @spread: send to @most of them (POISON_SPREAD_MAX), or to all if these are
+ *          fewer
+ * @send: send to the node at @addr
+ */
+struct poison_links {
+	size_t (*count)(void *ctx);
+	void (*spread)(void *ctx, const struct msg *msg, size_t most);
+	void (*send)(void *ctx, struct str addr, const struct msg *msg);
+	void *ctx;
+};
+
 /**
  * struct poison_news - what is exchanged
  * @whole_at: all evidence may be sent again from then on
  */
 struct poison_news {
 	struct poison *poison;
-	struct gossip *gossip;
-	struct flow_effects *fx;
+	struct poison_links links;
+	apr_pool_t *pool;
 	int64_t whole_at;
 };
 
@@ -27,6 +46,9 @@
 /** poison_news_digest() - the node at @from knows what @digest stands for. */
 void poison_news_digest(struct poison_news *news, struct str from,
 			uint64_t digest, int64_t now);
-/** poison_news_msg() - evidence of the node at @from. */
+/**
+ * poison_news_msg() - evidence of the node at @from
+ * @targets_known: what is known of targets is up to date
+ */
 void poison_news_msg(struct poison_news *news, struct str from,
-		     const struct msg *msg, bool store_fresh, int64_t now);
+		     const struct msg *msg, bool targets_known, int64_t now);
--- a/replica.h
+++ b/replica.h
@@ -16,6 +16,7 @@
  * @avoid_until: after a failure
  * @lacks_version, @lacks_until: snapshot that it did not have
  * @gate, @epoch: its gate in the current view
+ * @boot, @boot_at: id of the process that answered last, and when
  */
 struct replica {
 	uint64_t key;
@@ -26,6 +27,8 @@
 	int64_t lacks_until;
 	struct vm *gate;
 	uint64_t epoch;
+	uint64_t boot;
+	int64_t boot_at;
 };
 
 struct replica *replica_get(struct node *node, uint64_t key);
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -472,6 +472,19 @@
 }
 END_TEST
 
+static size_t nobody(void *ctx)
+{
+	(void)ctx;
+	return 0;
+}
+
+static void tell_nobody(void *ctx, const struct msg *msg, size_t most)
+{
+	(void)ctx;
+	(void)msg;
+	(void)most;
+}
+
 static void leave_it(struct calls *calls, struct call *call,
 		     const struct attempt *attempt,
 		     const struct flow_reply *reply)
@@ -502,9 +515,11 @@
 	struct target_entry b = entry("b", "there");
 	struct flow_effects fx;
 	struct note_book notes = { .fx = &fx };
-	struct gossip gossip = { .members = hash_make(pool) };
 	struct poison poison;
-	struct poison_news news = { &poison, &gossip, &fx, 0 };
+	struct poison_news news = { .poison = &poison,
+				    .links = { nobody, tell_nobody, NULL,
+					       NULL },
+				    .pool = pool };
 	struct calls calls;
 	struct call *call;
 
@@ -516,7 +531,7 @@
 	calls.notes = &notes;
 	calls.now = 100 * (int64_t)SECOND_US;
 	calls.roster = roster_create(pool, STR("here"), 0);
-	poison_init(&poison, pool, calls.roster);
+	poison_init(&poison, pool, (struct poison_targets){ 0 });
 	calls.budget = budget_create(
 		pool, (struct budget_rules){ 1, 100, 10 * SECOND_US });
 	call = call_create(&calls, 1, &request, catalog_create(), &route);
--- a/tests/check_poison.c
+++ b/tests/check_poison.c
@@ -11,6 +11,7 @@
 
 #include "../parcel.h"
 #include "../poison.h"
+#include "../roster.h"
 
 #define COUNT(table) (int)(sizeof(table) / sizeof(*(table)))
 
@@ -88,8 +89,8 @@
 START_TEST(test_fingerprint)
 {
 	const struct print_case *c = &print_cases[_i];
-	struct fingerprint a = fingerprint_of(&compared);
-	struct fingerprint b = fingerprint_of(&c->request);
+	struct fingerprint a = flow_fingerprint(&compared);
+	struct fingerprint b = flow_fingerprint(&c->request);
 
 	ck_assert_msg(!memcmp(a.content, b.content, sizeof(a.content)) ==
 			      c->same_content,
@@ -240,12 +241,18 @@
 	return str_dup(scene->pool, (struct str){ id, (size_t)len });
 }
 
+static bool lives(const void *ctx, const struct poison_crash *crash)
+{
+	return roster_lists(ctx, crash->key, crash->born_ms);
+}
+
 static void scene_init(struct scene *scene)
 {
 	apr_pool_create(&scene->pool, NULL);
 	scene->now = 100 * (int64_t)SECOND_US;
 	scene->roster = roster_create(scene->pool, STR("here"), 0);
-	poison_init(&scene->poison, scene->pool, scene->roster);
+	poison_init(&scene->poison, scene->pool,
+		    (struct poison_targets){ lives, scene->roster });
 	for (int i = 0; i < POISON_TARGETS_MAX; i++) {
 		struct target_entry entry = { .id = target_id(scene, i),
 					      .service = 1,
@@ -272,9 +279,10 @@
 static void broke(struct scene *scene, const struct fingerprint *print,
 		  int round, int target)
 {
-	struct live_target at = { .key = str_hash(target_id(scene, target)) };
+	struct poison_crash crash = { .key = str_hash(target_id(scene, target)),
+				      .at = scene->now };
 
-	poison_broke(&scene->poison, print, round, &at, scene->now);
+	poison_broke(&scene->poison, print, round, &crash);
 }
 
 static void take_step(struct scene *scene, const struct step *step)
--- a/tier.c
+++ b/tier.c
@@ -73,6 +73,41 @@
 				      settings->retry_window_us };
 }
 
+/* Evidence against requests, among nodes. */
+
+static size_t count_others(void *ctx)
+{
+	struct tier *tier = ctx;
+
+	return (size_t)gossip_count(&tier->gossip) - 1;
+}
+
+static void send_news(void *ctx, struct str addr, const struct msg *msg)
+{
+	struct tier *tier = ctx;
+	struct flow_effect *fx = flow_add(tier->fx, FLOW_PEER_SEND);
+
+	fx->addr = str_dup(tier->fx->pool, addr);
+	fx->msg = *msg;
+	fx->msg.body = str_dup(tier->fx->pool, msg->body);
+}
+
+static void spread_news(void *ctx, const struct msg *msg, size_t most)
+{
+	struct tier *tier = ctx;
+	struct member_info *picked[POISON_SPREAD_MAX];
+	size_t count =
+		gossip_pick(&tier->gossip, most, tier->calls.now, picked);
+
+	for (size_t i = 0; i < count; i++)
+		send_news(tier, picked[i]->addr, msg);
+}
+
+static bool is_published(const void *ctx, const struct poison_crash *crash)
+{
+	return roster_lists(ctx, crash->key, crash->born_ms);
+}
+
 struct tier *tier_create(const struct tier_options *opt, int64_t now,
 			 struct flow_effects *fx)
 {
@@ -111,10 +146,13 @@
 	batch_book_init(&tier->batches, tier->pool, &tier->gossip,
 			&tier->spread);
 	merge_init(&tier->calls, &tier->batches);
-	poison_init(&tier->poison, tier->pool, tier->roster);
-	tier->poison_news = (struct poison_news){ .poison = &tier->poison,
-						  .gossip = &tier->gossip,
-						  .fx = fx };
+	poison_init(&tier->poison, tier->pool,
+		    (struct poison_targets){ is_published, tier->roster });
+	tier->poison_news = (struct poison_news){
+		.poison = &tier->poison,
+		.links = { count_others, spread_news, send_news, tier },
+		.pool = tier->pool,
+	};
 	tier->calls.poison = &tier->poison;
 	tier->calls.news = &tier->poison_news;
 	tier->calls.gossip = &tier->gossip;
@@ -214,7 +252,7 @@
 	}
 	call = call_create(&tier->calls, event->id, request, tier->dir.catalog,
 			   route);
-	call->print = fingerprint_of(request);
+	call->print = flow_fingerprint(request);
 	call->kind = route->nshards ? &merge_kind : &forward_kind;
 	poison_asked(&tier->poison, &call->print, event->now);
 	if (refuse_blocked(tier, call))
@@ -323,7 +361,6 @@
 	case MSG_SUSPECTS:
 		poison_news_msg(&tier->poison_news, event->from, msg,
 				store_is_fresh(tier, event->now), event->now);
-		poison_news_send(&tier->poison_news, event->now);
 		break;
 	case MSG_TRY:
 		trial_asked(&tier->calls, event->from, event->incarnation, msg);
