--- a/tests/fuzz_tier.c
+++ b/tests/fuzz_tier.c
@@ -3,10 +3,12 @@
  * seed, on several nodes in virtual time. The books that the targets and the
  * callers keep are the oracle; see judge().
  *
- *     fuzz-tier FIRST COUNT     seeds FIRST to FIRST + COUNT - 1
+ *     fuzz-tier FIRST COUNT            seeds FIRST to FIRST + COUNT - 1
+ *     fuzz-tier FIRST COUNT deadly     with a request that crashes its targets
  */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <apr_general.h>
 
@@ -20,6 +22,15 @@
 	TIMEOUT_US = 1000000,
 	SHARD_TARGETS = 2 * STAGE_SHARDS,
 	RESTART_US = 1500000,
+	FAULT_STEPS = 4,
+	/*
+	 * A deadly request comes each so many steps, over a longer time with
+	 * fewer faults: only nodes that are in order are judged by it.
+	 */
+	DEADLY_EACH = 30,
+	DEADLY_STEPS = 750,
+	DEADLY_FAULT_STEPS = 16,
+	DEADLY_LATE_MOST = 3,
 };
 
 /** struct trial - one seed: the stage, and what is under way */
@@ -70,7 +81,8 @@
 {
 	struct stage_target *target = any_target(trial);
 
-	target->up = !target->up;
+	if (!target->returning)
+		target->up = !target->up;
 }
 
 static void drain_target(struct trial *trial)
@@ -94,6 +106,7 @@
 
 	if (!trial->stage->nodes[node].up)
 		return;
+	trial->stage->nodes[node].troubled_at = trial->stage->now;
 	stage_kill_node(trial->stage, node);
 	trial->down_until[node] = trial->stage->now + RESTART_US;
 }
@@ -104,6 +117,8 @@
 
 	trial->stage->nodes[node].frozen_until =
 		trial->stage->now + 1000 * (int64_t)below(trial, 2000);
+	trial->stage->nodes[node].troubled_at =
+		trial->stage->nodes[node].frozen_until;
 }
 
 static void cut_link(struct trial *trial)
@@ -112,6 +127,8 @@
 	int a = (int)below(trial, (uint64_t)stage->nnodes);
 	int b = (int)below(trial, (uint64_t)stage->nnodes);
 
+	stage->nodes[a].troubled_at = INT64_MAX / 2;
+	stage->nodes[b].troubled_at = INT64_MAX / 2;
 	stage->links_cut[a][b] = true;
 	if (below(trial, 2))
 		stage->links_cut[b][a] = true;
@@ -149,8 +166,11 @@
 
 	memset(stage->links_cut, 0, sizeof(stage->links_cut));
 	stage->store_down = false;
-	for (int i = 0; i < stage->nnodes; i++)
+	for (int i = 0; i < stage->nnodes; i++) {
 		stage->nodes[i].store_cut = false;
+		if (stage->nodes[i].troubled_at > stage->now)
+			stage->nodes[i].troubled_at = stage->now;
+	}
 	for (int i = 0; i < stage->ntargets; i++) {
 		stage->targets[i].shed = 0;
 		stage->targets[i].lose = 0;
@@ -205,6 +225,8 @@
 				most = call->targets_of_shard[j];
 		over_asked += most > 2;
 	}
+	if (stage->deadly[1].late > DEADLY_LATE_MOST)
+		return "a deadly request was sent to ever more targets";
 	if (over_asked > 3)
 		return "shards asked at more targets than the route allows";
 	if (stage->extra_sends >
@@ -228,8 +250,22 @@
 	struct stage *stage = trial->stage;
 
 	for (int i = 0; i < stage->nnodes; i++)
-		if (!stage->nodes[i].up && stage->now >= trial->down_until[i])
+		if (!stage->nodes[i].up && stage->now >= trial->down_until[i]) {
+			stage->nodes[i].troubled_at = stage->now;
 			stage_start_node(stage, i);
+		}
+}
+
+/* At a node that takes callers; it crashes what runs it. */
+static void ask_deadly(struct trial *trial)
+{
+	struct stage *stage = trial->stage;
+	struct stage_asked asked = { "deadly", "10.1.0.1", 1 };
+	int node = (int)below(trial, (uint64_t)stage->nnodes);
+
+	if (stage->nodes[node].up && stage->nodes[node].ready)
+		stage_ask(stage, node, (enum stage_kind)below(trial, 3),
+			  &asked);
 }
 
 static int served_at_last(struct stage *stage)
@@ -247,10 +283,12 @@
 	return served;
 }
 
-static const char *run_seed(uint64_t seed)
+static const char *run_seed(uint64_t seed, bool deadly)
 {
 	struct trial trial = { .version = 1 };
 	struct stage *stage = stage_create(6, seed);
+	int steps = deadly ? DEADLY_STEPS : STEPS;
+	uint64_t fault_steps = deadly ? DEADLY_FAULT_STEPS : FAULT_STEPS;
 	const char *fault;
 
 	trial.stage = stage;
@@ -261,13 +299,15 @@
 	for (int i = 0; i < stage->nnodes; i++)
 		stage_start_node(stage, i);
 	stage_settle(stage);
-	for (int step = 0; step < STEPS; step++) {
+	for (int step = 0; step < steps; step++) {
 		int node = (int)below(&trial, (uint64_t)stage->nnodes);
 
-		if (below(&trial, 4) == 0)
+		if (below(&trial, fault_steps) == 0)
 			faults[below(&trial, sizeof(faults) / sizeof(*faults))](
 				&trial);
 		restart_nodes(&trial);
+		if (deadly && step % DEADLY_EACH == 0)
+			ask_deadly(&trial);
 		if (stage->nodes[node].up && stage->nodes[node].ready)
 			stage_call(stage, node,
 				   (enum stage_kind)below(&trial, 3));
@@ -291,11 +331,12 @@
 {
 	uint64_t first = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
 	uint64_t count = argc > 2 ? strtoull(argv[2], NULL, 10) : 20;
+	bool deadly = argc > 3 && !strcmp(argv[3], "deadly");
 	int failed = 0;
 
 	apr_initialize();
 	for (uint64_t seed = first; seed < first + count; seed++) {
-		const char *fault = run_seed(seed);
+		const char *fault = run_seed(seed, deadly);
 
 		if (!fault)
 			continue;
--- a/tests/run.py
+++ b/tests/run.py
@@ -24,6 +24,7 @@
 
 FUZZ_SEEDS = "24"
 TIER_SEEDS = "200"
+DEADLY_SEEDS = "60"
 SOAK_SEEDS, SOAK_SECONDS = ("1", "1"), "5"  # by hand: soak/soak.py
 SAFEGUARDS = {  # turned off: what the fuzzing must then say
     "no_ramp": "a cold target fell over",
@@ -100,6 +101,9 @@
         "fuzz", f"{BUILD}/tests/fuzz", "1", FUZZ_SEEDS)
     yield "fuzz-tier", lambda: run_program(
         "fuzz-tier", f"{BUILD}/tests/fuzz-tier", "1", TIER_SEEDS)
+    yield "fuzz-tier deadly", lambda: run_program(
+        "fuzz-tier deadly", f"{BUILD}/tests/fuzz-tier", "1", DEADLY_SEEDS,
+        "deadly")
     for name, fault in SAFEGUARDS.items():
         title = f"fuzz finds {name}"
         yield title, lambda n=name, f=fault, t=title: run_safeguard(t, n, f)
--- a/tests/stage.c
+++ b/tests/stage.c
@@ -20,7 +20,6 @@
 	RETURN_US = 1200000,
 	/* Its entry goes after this time of silence. */
 	LAPSE_US = 3600000,
-	STABLE_US = 4000000,
 	STORE_KEYS = 2048,
 	OUT_US = 5000000,
 };
@@ -600,6 +599,7 @@
 	if (!t->up)
 		return;
 	t->up = false;
+	t->returning = true;
 	if (++books->crashes == 3)
 		books->third_at = stage->now;
 	for (size_t i = 0; i < stage->queue->count; i++) {
@@ -629,6 +629,7 @@
 	struct stage_target *t = &stage->targets[target];
 
 	t->starts++;
+	t->returning = false;
 	t->up = true;
 	memset(t->slot_free_at, 0, sizeof(t->slot_free_at));
 	if (!t->keeps_id)
@@ -636,12 +637,14 @@
 	stage_publish(stage, target);
 }
 
-static void note_late(struct stage *stage, struct stage_call *call)
+static void note_late(struct stage *stage, struct stage_call *call, int node)
 {
 	struct stage_deadly *books = &stage->deadly[call->deadly];
+	int64_t troubled_at = stage->nodes[node].troubled_at;
 
 	if (call->reached_late || !books->third_at ||
-	    stage->now - books->third_at <= STABLE_US)
+	    stage->now - books->third_at <= STAGE_STABLE_US ||
+	    (troubled_at && stage->now - troubled_at <= STAGE_STABLE_US))
 		return;
 	call->reached_late = true;
 	books->late++;
@@ -702,7 +705,7 @@
 	       (int64_t)rng_below(&stage->rng, (uint64_t)t->service_us);
 	took = end_of_run(stage, t, took) - stage->now;
 	if (stage->calls[call_id - 1].deadly) {
-		note_late(stage, &stage->calls[call_id - 1]);
+		note_late(stage, &stage->calls[call_id - 1], happen->node);
 		reply.result = FETCH_BROKEN;
 		/* All at the same time, so that others lose all connections. */
 		took = stage->deadly_us ? stage->deadly_us : t->service_us;
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -19,6 +19,7 @@
 	STAGE_DOMAINS = 3,
 	STAGE_SLOTS = 4,
 	STAGE_DEADLY = 4,
+	STAGE_STABLE_US = 4000000,
 };
 
 /** enum stage_kind - kinds of requests, one route each */
@@ -35,6 +36,7 @@
  * @slots: requests that run at a time, others wait for their turn; 0: any
  * @slot_free_at: when each slot has done all that it was given
  * @starts: times that it came back from a crash
+ * @returning: it crashed, and is not back yet
  * @keeps_id: it comes back under the id that it had
  */
 struct stage_target {
@@ -54,6 +56,7 @@
 	int slots;
 	int64_t slot_free_at[STAGE_SLOTS];
 	int starts;
+	bool returning;
 	bool keeps_id;
 };
 
@@ -102,8 +105,13 @@
 	bool reached_late;
 };
 
+/**
+ * struct stage_node - @troubled_at: a fault of its own began or ended; its
+ * tries of a deadly request do not count for STAGE_STABLE_US after that
+ */
 struct stage_node {
 	struct tier *tier;
+	int64_t troubled_at;
 	struct flow_effects fx;
 	char addr[24];
 	int domain;
