One broken connection goes with the next round of gossip, not at once

Change: only what makes a request suspect is news to be sent at once and a line in the log; the rest goes with the digests; an answer is told only where the evidence was. Ruled out: not sharing single breaks at all: a request that may run once only crashes one target at a node.

--- a/poison.c
+++ b/poison.c
@@ -190,6 +190,10 @@
 	return entry;
 }
 
+/*
+ * One broken connection is common and needs no haste: it goes with the digests
+ * of the next round.
+ */
 static void set_news(struct poison *poison, struct poison_entry *entry)
 {
 	entry->news = true;
@@ -305,7 +309,8 @@
 	entry->harmless = false;
 	if (add_crash(entry, crash) && round > entry->rounds)
 		entry->rounds = round;
-	if (!has_grown(entry, &before))
+	if (!has_grown(entry, &before) ||
+	    poison_verdict(poison, print) == POISON_NONE)
 		return NULL;
 	set_news(poison, entry);
 	return entry;
@@ -351,13 +356,12 @@
 bool poison_served(struct poison *poison, const struct fingerprint *print,
 		   int64_t now)
 {
-	const struct poison_entry *known = find(poison, print);
-	bool had = known && known->ncrashes;
+	bool was_suspect = poison_verdict(poison, print) != POISON_NONE;
 	struct poison_entry *entry = set_harmless(poison, print, now);
 
-	if (entry)
+	if (entry && entry->told)
 		set_news(poison, entry);
-	return had;
+	return was_suspect;
 }
 
 bool poison_lease(struct poison *poison, const struct fingerprint *print,
--- a/poison.h
+++ b/poison.h
@@ -61,7 +61,8 @@
  * @asked_at: when it came last
  * @leased_until: it is tried by some node until then
  * @harmless: a target answered it; kept as others send the same content
- * @news: not yet sent to other nodes
+ * @news: to be sent to other nodes at once
+ * @told: some other node has been sent it
  * @next: the same content of another caller
  */
 struct poison_entry {
@@ -73,6 +74,7 @@
 	int64_t leased_until;
 	bool harmless;
 	bool news;
+	bool told;
 	struct poison_entry *next;
 };
 
@@ -112,7 +114,7 @@
  * poison_broke() - a connection broke at a target that ran the request
  * @round: that it was sent in
  *
- * Return: the entry if it tells something new, else NULL.
+ * Return: the entry if it is more evidence against a suspect, else NULL.
  */
 const struct poison_entry *poison_broke(struct poison *poison,
 					const struct fingerprint *print,
@@ -121,7 +123,7 @@
 /**
  * poison_served() - a target answered it
  *
- * Return: whether there was evidence against it.
+ * Return: whether it was suspect.
  */
 bool poison_served(struct poison *poison, const struct fingerprint *print,
 		   int64_t now);
--- a/poison_news.c
+++ b/poison_news.c
@@ -36,6 +36,8 @@
 			   .hash = poison_digest(news->poison) };
 
 	parcel_suspects(list, count, now, &body);
+	for (size_t i = 0; i < count; i++)
+		list[i]->told = true;
 	msg.body = buf_str(&body);
 	if (letter->to.len)
 		news->links.send(news->links.ctx, letter->to, &msg);
