--- a/tests/fuzz_tier.c
+++ b/tests/fuzz_tier.c
@@ -225,8 +225,9 @@
 				most = call->targets_of_shard[j];
 		over_asked += most > 2;
 	}
-	if (stage->deadly[1].late > DEADLY_LATE_MOST)
-		return "a deadly request was sent to ever more targets";
+	for (int i = 1; i < STAGE_DEADLY; i++)
+		if (stage->deadly[i].late > DEADLY_LATE_MOST)
+			return "a deadly request was sent to ever more targets";
 	if (over_asked > 3)
 		return "shards asked at more targets than the route allows";
 	if (stage->extra_sends >
@@ -256,16 +257,17 @@
 		}
 }
 
-/* At a node that takes callers; it crashes what runs it. */
+/* At a node that takes callers; one of each kind, each with its books. */
 static void ask_deadly(struct trial *trial)
 {
 	struct stage *stage = trial->stage;
-	struct stage_asked asked = { "deadly", "10.1.0.1", 1 };
+	struct stage_asked asked = { "deadly", "10.1.0.1", 0 };
 	int node = (int)below(trial, (uint64_t)stage->nnodes);
+	enum stage_kind kind = (enum stage_kind)below(trial, 3);
 
+	asked.deadly = (int)kind + 1;
 	if (stage->nodes[node].up && stage->nodes[node].ready)
-		stage_ask(stage, node, (enum stage_kind)below(trial, 3),
-			  &asked);
+		stage_ask(stage, node, kind, &asked);
 }
 
 static int served_at_last(struct stage *stage)
