Entries that went do not come back from a peer that was cut off

What callers saw: 503 'the target is full' from a node whose table held two targets that had ended 33 s before (fuzz-tier 10098 deadly). Cause: the node had started while the store was away, and read it whole when it was back. A peer that had been cut off from the store sent it the entries as they were before; a key that was never seen has no tombstone, so its old revision counted as new. Change: of a peer's items, what is not known and not newer than what this node has read is gone.

--- a/directory.c
+++ b/directory.c
@@ -260,6 +260,26 @@
 		apply_one(dir, &items[i], now);
 }
 
+/*
+ * A node that has just read the store knows no keys that went before. A peer
+ * that was cut off from the store sends them as they were; taken, their targets
+ * would be asked until the whole store is read once more.
+ */
+static bool is_gone(const struct directory *dir, const struct store_item *item)
+{
+	return item->revision <= dir->revision &&
+	       !apr_hash_get(dir->keys, item->key.ptr,
+			     (apr_ssize_t)item->key.len);
+}
+
+void directory_merge(struct directory *dir, const struct store_item *items,
+		     size_t count, int64_t now)
+{
+	for (size_t i = 0; i < count; i++)
+		if (!is_gone(dir, &items[i]))
+			apply_one(dir, &items[i], now);
+}
+
 static struct held_key *find_gone(struct directory *dir, int64_t now)
 {
 	apr_hash_index_t *it;
--- a/directory.h
+++ b/directory.h
@@ -63,6 +63,13 @@
 /** directory_apply() - take items that are newer than what is held. */
 void directory_apply(struct directory *dir, const struct store_item *items,
 		     size_t count, int64_t now);
+/**
+ * directory_merge() - the same of items that another node holds
+ *
+ * That one may be behind: what this node would know, and does not, is gone.
+ */
+void directory_merge(struct directory *dir, const struct store_item *items,
+		     size_t count, int64_t now);
 /** directory_round() - a read of the whole store begins. */
 void directory_round(struct directory *dir);
 /** directory_whole() - it is complete: keys that it did not show are gone. */
--- a/share.c
+++ b/share.c
@@ -263,7 +263,7 @@
 	}
 	if (msg->wait_us)
 		roster_store_lost(dir->roster, now - msg->wait_us);
-	directory_apply(dir, items, count, now);
+	directory_merge(dir, items, count, now);
 	apr_pool_destroy(pool);
 	/* What changed between is missing: ask for it. */
 	if (msg->key > dir->revision) {
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -554,6 +554,51 @@
 }
 END_TEST
 
+/** struct merged_case - an entry of a peer, to a node that knows revision 50 */
+struct merged_case {
+	const char *name;
+	uint64_t revision;
+	bool taken;
+};
+
+static const struct merged_case merged_cases[] = {
+	{ "it went before this node read the store", 10, false },
+	{ "the same, just before", 50, false },
+	{ "it came since", 51, true },
+};
+
+/*
+ * A node reads the whole store after its start; a peer that was cut off from
+ * the store then sends the entries of targets that went meanwhile. Callers are
+ * refused if the node asks these.
+ */
+START_TEST(test_old_items_of_a_peer)
+{
+	const struct merged_case *c = &merged_cases[_i];
+	struct store_item item = {
+		.key = STR("servers/i-1"),
+		.value = STR("{\"service\":\"s\",\"addr\":\"10.0.0.1:80\","
+			     "\"zone\":\"here\",\"version\":\"v1\","
+			     "\"slots\":2,\"state\":\"ready\","
+			     "\"cold_left_ms\":0,\"seq\":1}"),
+		.revision = c->revision,
+	};
+	struct roster *roster = roster_create(pool, STR("here"), 0);
+	struct flow_effects fx;
+	struct note_book notes = { .fx = &fx };
+	struct directory dir;
+
+	flow_effects_init(&fx, pool);
+	directory_init(&dir, pool, &platform_dialect, roster, &notes);
+	dir.revision = 50;
+	directory_merge(&dir, &item, 1, SECOND_US);
+	ck_assert_msg(roster_count(roster) == c->taken, "%s", c->name);
+	directory_destroy(&dir);
+	roster_destroy(roster);
+	flow_effects_free(&fx);
+}
+END_TEST
+
 /** struct turn_case - two that wait for the same place */
 struct turn_case {
 	struct claim a;
@@ -795,6 +840,8 @@
 	tcase_add_test(tcase, test_silent_target);
 	tcase_add_test(tcase, test_two_kinds);
 	tcase_add_test(tcase, test_no_place_after_a_send);
+	tcase_add_loop_test(tcase, test_old_items_of_a_peer, 0,
+			    COUNT(merged_cases));
 	tcase_add_loop_test(tcase, test_turn, 0,
 			    sizeof(turn_cases) / sizeof(*turn_cases));
 	tcase_add_loop_test(tcase, test_usual, 0,
--- a/tests/run.py
+++ b/tests/run.py
@@ -25,6 +25,7 @@
 FUZZ_SEEDS = "24"
 TIER_SEEDS = "200"
 DEADLY_SEEDS = "60"
+ONCE_FAILED = ("10098",)  # entries that had gone came back from a peer
 SOAK_SEEDS, SOAK_SECONDS = ("1", "1"), "5"  # by hand: soak/soak.py
 SAFEGUARDS = {  # turned off: what the fuzzing must then say
     "no_ramp": "a cold target fell over",
@@ -104,6 +105,10 @@
     yield "fuzz-tier deadly", lambda: run_program(
         "fuzz-tier deadly", f"{BUILD}/tests/fuzz-tier", "1", DEADLY_SEEDS,
         "deadly")
+    for seed in ONCE_FAILED:
+        yield f"fuzz-tier deadly {seed}", lambda s=seed: run_program(
+            f"fuzz-tier deadly {s}", f"{BUILD}/tests/fuzz-tier", s, "1",
+            "deadly")
     for name, fault in SAFEGUARDS.items():
         title = f"fuzz finds {name}"
         yield title, lambda n=name, f=fault, t=title: run_safeguard(t, n, f)
