--- a/explain.c
+++ b/explain.c
@@ -77,8 +77,8 @@
 	{ "it crashes the targets that run it",
 	  "It was refused at once, nothing ran: it is the same (content and "
 	  "caller) as requests that crashed each target that ran them. The "
-	  "lines above name these. It runs again once a target has answered "
-	  "it, or all nodes have been stopped and started." },
+	  "lines above name these. It stays so until all nodes have been "
+	  "stopped." },
 	{ "it may crash targets and is being tried",
 	  "The same request broke off at several targets and was answered by "
 	  "none, so it is sent to one target at a time; another trial was "
--- a/poison.c
+++ b/poison.c
@@ -506,13 +506,17 @@
 	return digest;
 }
 
-size_t poison_blocked(const struct poison *poison)
+struct poison_counts poison_count(const struct poison *poison)
 {
+	struct poison_counts counts = { 0 };
 	apr_hash_index_t *it;
-	size_t blocked = 0;
 
 	for (it = apr_hash_first(NULL, poison->entries); it;
-	     it = apr_hash_next(it))
-		blocked += sum_up(hash_value(it)).blocked;
-	return blocked;
+	     it = apr_hash_next(it)) {
+		struct chain chain = sum_up(hash_value(it));
+
+		counts.blocked += chain.blocked;
+		counts.suspect += !chain.blocked && chain.callers;
+	}
+	return counts;
 }
--- a/poison.h
+++ b/poison.h
@@ -143,5 +143,10 @@
 void poison_settle(struct poison *poison, bool store_fresh, int64_t now);
 /** poison_digest() - alike on nodes that know the same; 0 for nothing. */
 uint64_t poison_digest(const struct poison *poison);
-/** poison_blocked() - how many requests are blocked. */
-size_t poison_blocked(const struct poison *poison);
+/** struct poison_counts - contents by the worst verdict over their callers */
+struct poison_counts {
+	size_t suspect;
+	size_t blocked;
+};
+
+struct poison_counts poison_count(const struct poison *poison);
--- a/tier.c
+++ b/tier.c
@@ -515,6 +515,7 @@
 
 void tier_metrics(const struct tier *tier, struct buf *out)
 {
+	struct poison_counts counts = poison_count(&tier->poison);
 	const struct directory *dir = &tier->dir;
 
 	metrics_text(&tier->notes.metrics, out);
@@ -544,9 +545,9 @@
 		     "since the store, or a reader of it, was heard of",
 		     (uint64_t)(tier->calls.now - dir->read_at) / 1000);
 	metric_gauge(out, "suspect_requests",
-		     "with evidence that they crash targets",
-		     tier->poison.count);
-	metric_gauge(out, "blocked_requests", "of these, never sent any more",
-		     poison_blocked(&tier->poison));
+		     "contents that are tried at one target at a time",
+		     counts.suspect);
+	metric_gauge(out, "blocked_requests",
+		     "contents that are sent to no target", counts.blocked);
 	metric_gauge(out, "ready", "callers may be sent here", tier->ready);
 }
