Evidence is told when its request has ended unserved, one message a domain

Change: the first round is told when the request ends without an answer, and before its caller hears so; later rounds at once. News goes to one node of each other domain, which passes it on in its own. Digests hold what has been suspect for over three seconds. Four targets a request are kept, not eight. Ruled out: fewer relays: each would still cross domains.

--- a/call.c
+++ b/call.c
@@ -477,8 +477,21 @@
 
 /* Ends. */
 
+/*
+ * Other nodes know of it before its caller is answered, and may try again
+ * there. What another node no longer wanted was mostly answered elsewhere.
+ */
+static void tell_unserved(struct calls *calls, const struct call *call)
+{
+	if (call->served || (call->asker.len && call->abandoned))
+		return;
+	poison_unserved(calls->poison, &call->print);
+	poison_news_send(calls->news, calls->now);
+}
+
 static void call_end(struct calls *calls, struct call *call)
 {
+	tell_unserved(calls, call);
 	while (call->attempts) {
 		struct attempt *attempt = call->attempts;
 
@@ -507,6 +520,7 @@
 	struct flow_effect *fx;
 
 	note_final(calls->notes, calls->now, call, final);
+	tell_unserved(calls, call);
 	fx = flow_add(calls->fx, FLOW_ANSWER);
 	fx->id = call->id;
 	fx->status = final->status;
@@ -564,5 +578,6 @@
 void call_abandon(struct calls *calls, struct call *call)
 {
 	note_gone(calls->notes, calls->now, call);
+	call->abandoned = true;
 	call_end(calls, call);
 }
--- a/call.h
+++ b/call.h
@@ -152,6 +152,7 @@
  * @handed: times that a whole question was handed over
  * @trial: of a suspect request
  * @served: some target has answered it
+ * @abandoned: who asked wants it no more
  * @over: it has ended; freed once all effects are carried out
  * @state: of its kind
  */
@@ -185,6 +186,7 @@
 	int handed;
 	struct trial trial;
 	bool served;
+	bool abandoned;
 	bool over;
 	void *state;
 	struct call *next_dead;
--- a/front_admit.c
+++ b/front_admit.c
@@ -262,6 +262,7 @@
 	for (size_t i = 0; i < q->nleafs; i++)
 		front_close_all(node, q, &q->leafs[i]);
 	steer_limit(node, q);
+	front_unserved(node, q);
 	if (!code)
 		answer_send(node, q);
 	drop(node, q);
--- a/front_poison.c
+++ b/front_poison.c
@@ -5,29 +5,33 @@
 
 /* Other nodes. */
 
-static size_t count_others(void *ctx)
-{
-	const struct node *node = ctx;
-
-	return node->member->count - 1;
-}
-
 static void send_news(void *ctx, struct str addr, const struct msg *msg)
 {
 	node_send(ctx, addr, 0, msg);
 }
 
-/* The others from a place that is drawn, each at most once. */
-static void spread_news(void *ctx, const struct msg *msg, size_t most)
+enum {
+	/* More nodes are told by some that pass it on. */
+	DIRECT = 32,
+	FANOUT = 8,
+};
+
+/* From a place that is drawn on, each at most once. */
+static void spread_news(void *ctx, const struct msg *msg, bool near)
 {
 	struct node *node = ctx;
-	size_t others = count_others(node);
+	size_t others = node->member->count - 1;
 	size_t first = others ? rng_below(&node->rng, others) : 0;
+	size_t most = others > DIRECT ? FANOUT : others;
+	struct msg copy = *msg;
 
-	for (size_t i = 0; i < others && i < most; i++)
+	/* Nodes know no failure domains here: all are told alike. */
+	(void)near;
+	copy.ran = others > DIRECT;
+	for (size_t i = 0; i < most; i++)
 		send_news(node,
 			  node->member->vms[1 + (first + i) % others]->addr,
-			  msg);
+			  &copy);
 }
 
 /* The same process has answered since. */
@@ -49,7 +53,7 @@
 		    (struct poison_targets){ has_answered, node });
 	front->news = (struct poison_news){
 		.poison = &front->poison,
-		.links = { count_others, spread_news, send_news, node },
+		.links = { spread_news, send_news, node },
 		.pool = front->pool,
 	};
 }
@@ -61,7 +65,7 @@
 
 uint64_t front_poison_digest(const struct node *node)
 {
-	return node->front ? poison_digest(&node->front->poison) : 0;
+	return node->front ? poison_digest(&node->front->poison, node->now) : 0;
 }
 
 void front_poison_heard(struct node *node, struct str from, uint64_t digest)
@@ -153,3 +157,11 @@
 	poison_served(&node->front->poison, &q->print, node->now);
 	poison_news_send(&node->front->news, node->now);
 }
+
+void front_unserved(struct node *node, const struct question *q)
+{
+	if (q->served)
+		return;
+	poison_unserved(&node->front->poison, &q->print);
+	poison_news_send(&node->front->news, node->now);
+}
--- a/front_poison.h
+++ b/front_poison.h
@@ -24,6 +24,8 @@
 /** front_target_served() - a target answered a leaf request of it. */
 void front_target_served(struct node *node, struct question *q,
 			 const struct attempt *attempt, const struct msg *msg);
+/** front_unserved() - it has ended without an answer of any target. */
+void front_unserved(struct node *node, const struct question *q);
 /** front_poison_digest() - for heartbeats. */
 uint64_t front_poison_digest(const struct node *node);
 /** front_poison_heard() - digest of the node at @from. */
--- a/gossip.c
+++ b/gossip.c
@@ -236,14 +236,14 @@
 enum side {
 	SIDE_NEAR,
 	SIDE_FAR,
-	SIDE_ALL, /* that are up */
+	SIDE_NEAR_UP,
 };
 
 static bool is_of_side(const struct member_info *member, enum side side,
 		       int64_t now)
 {
-	if (side == SIDE_ALL)
-		return is_up(member, now);
+	if (side == SIDE_NEAR_UP)
+		return member->near && is_up(member, now);
 	return member->near == (side == SIDE_NEAR) &&
 	       gossip_counts(member, now);
 }
@@ -271,10 +271,34 @@
 	return seen < most ? seen : most;
 }
 
-size_t gossip_pick(struct gossip *gossip, size_t most, int64_t now,
+size_t gossip_near(struct gossip *gossip, size_t most, int64_t now,
 		   struct member_info **out)
 {
-	return pick(gossip, SIDE_ALL, most, now, out);
+	return pick(gossip, SIDE_NEAR_UP, most, now, out);
+}
+
+size_t gossip_far(struct gossip *gossip, size_t most, int64_t now,
+		  struct member_info **out)
+{
+	apr_hash_index_t *it;
+	size_t count = 0;
+
+	for (it = apr_hash_first(NULL, gossip->members); it;
+	     it = apr_hash_next(it)) {
+		struct member_info *member = hash_value(it);
+		size_t at = 0;
+
+		if (member->near || !is_up(member, now))
+			continue;
+		while (at < count &&
+		       out[at]->entry.domain != member->entry.domain)
+			at++;
+		if (at == count && count < most)
+			out[count++] = member;
+		else if (at < count && rng_below(gossip->rng, 2))
+			out[at] = member;
+	}
+	return count;
 }
 
 static uint64_t weight(uint32_t ip, uint64_t key)
--- a/gossip.h
+++ b/gossip.h
@@ -96,12 +96,20 @@
 /** gossip_count() - nodes that may hold a part of shared bounds. */
 int gossip_count(const struct gossip *gossip);
 /**
- * gossip_pick() - up to @most nodes that are up, each with the same chance
+ * gossip_near() - up to @most nodes of this failure domain that are up, each
+ * with the same chance
  *
  * Return: how many.
  */
-size_t gossip_pick(struct gossip *gossip, size_t most, int64_t now,
+size_t gossip_near(struct gossip *gossip, size_t most, int64_t now,
 		   struct member_info **out);
+/**
+ * gossip_far() - a node that is up of each other failure domain, @most at most
+ *
+ * Return: how many.
+ */
+size_t gossip_far(struct gossip *gossip, size_t most, int64_t now,
+		  struct member_info **out);
 /**
  * gossip_owner() - the live node that decides about @key: the same one on all
  * nodes that know the same others; NULL when it is this one
--- a/poison.c
+++ b/poison.c
@@ -31,6 +31,8 @@
 	 * too.
 	 */
 	SERVED_US = 10000000,
+	/* News has reached all nodes by then. */
+	SHARED_US = 3000000,
 	HARMLESS_KEPT_US = 60000000,
 	SUSPECT_KEPT_S = 3600,
 };
@@ -190,10 +192,6 @@
 	return entry;
 }
 
-/*
- * One broken connection is common and needs no haste: it goes with the digests
- * of the next round.
- */
 static void set_news(struct poison *poison, struct poison_entry *entry)
 {
 	entry->news = true;
@@ -312,10 +310,20 @@
 	if (!has_grown(entry, &before) ||
 	    poison_verdict(poison, print) == POISON_NONE)
 		return NULL;
-	set_news(poison, entry);
+	/* The first round is told when its request has ended. */
+	if (entry->rounds > 1 && entry->rounds > before.rounds)
+		set_news(poison, entry);
 	return entry;
 }
 
+void poison_unserved(struct poison *poison, const struct fingerprint *print)
+{
+	struct poison_entry *entry = find(poison, print);
+
+	if (entry && entry->ncrashes && !entry->told)
+		set_news(poison, entry);
+}
+
 /* Return: a caller but that of @entry has sent the same, and it crashed. */
 static bool others_suspect(const struct poison *poison,
 			   const struct fingerprint *print)
@@ -420,7 +428,10 @@
 		from->harmless ? set_harmless(poison, &from->print, now)
 			       : merge_crashes(poison, from, store_fresh, now);
 
-	if (entry && relay)
+	if (!entry)
+		return;
+	entry->told = true;
+	if (relay)
 		set_news(poison, entry);
 }
 
@@ -484,25 +495,31 @@
 		drop(poison, old);
 }
 
-uint64_t poison_digest(const struct poison *poison)
+bool poison_is_shared(const struct poison_entry *entry, int64_t now)
+{
+	return entry->ncrashes >= SUSPECT_CRASHES &&
+	       now - entry->crashes[0].at > SHARED_US;
+}
+
+static uint64_t entry_digest(const struct poison_entry *entry)
+{
+	uint64_t words[] = { entry->print.content[0], entry->print.content[1],
+			     entry->print.caller, (uint64_t)entry->rounds };
+
+	return str_hash((struct str){ (const char *)words, sizeof(words) });
+}
+
+uint64_t poison_digest(const struct poison *poison, int64_t now)
 {
 	apr_hash_index_t *it;
 	uint64_t digest = 0;
 
 	for (it = apr_hash_first(NULL, poison->entries); it;
-	     it = apr_hash_next(it)) {
+	     it = apr_hash_next(it))
 		for (const struct poison_entry *at = hash_value(it); at;
-		     at = at->next) {
-			uint64_t words[] = { at->print.content[0],
-					     at->print.content[1],
-					     at->print.caller,
-					     (uint64_t)at->rounds };
-
-			if (at->ncrashes)
-				digest ^= str_hash((struct str){
-					(const char *)words, sizeof(words) });
-		}
-	}
+		     at = at->next)
+			if (poison_is_shared(at, now))
+				digest ^= entry_digest(at);
 	return digest;
 }
 
--- a/poison.h
+++ b/poison.h
@@ -18,8 +18,8 @@
 
 enum {
 	/* Targets that are kept in mind for a request. */
-	POISON_TARGETS_MAX = 8,
-	/* Requests that there is evidence against; some 300 bytes each. */
+	POISON_TARGETS_MAX = 4,
+	/* Requests that there is evidence against; some 200 bytes each. */
 	POISON_ENTRIES_MAX = 1024,
 	/* Requests of which it is remembered that they were just answered. */
 	POISON_SERVED_MAX = 4096,
@@ -62,7 +62,7 @@
  * @leased_until: it is tried by some node until then
  * @harmless: a target answered it; kept as others send the same content
  * @news: to be sent to other nodes at once
- * @told: some other node has been sent it
+ * @told: other nodes have been sent it, or have sent it
  * @next: the same content of another caller
  */
 struct poison_entry {
@@ -120,6 +120,13 @@
 					const struct fingerprint *print,
 					int round,
 					const struct poison_crash *crash);
+/**
+ * poison_unserved() - it has ended without an answer of any target
+ *
+ * Only now is what broke under it told to others: most requests that lose some
+ * connections are answered a moment later.
+ */
+void poison_unserved(struct poison *poison, const struct fingerprint *print);
 /**
  * poison_served() - a target answered it
  *
@@ -141,8 +148,14 @@
  * @store_fresh: the table is what the store says now
  */
 void poison_settle(struct poison *poison, bool store_fresh, int64_t now);
-/** poison_digest() - alike on nodes that know the same; 0 for nothing. */
-uint64_t poison_digest(const struct poison *poison);
+/** poison_is_shared() - it is suspect, and has been for some seconds. */
+bool poison_is_shared(const struct poison_entry *entry, int64_t now);
+/**
+ * poison_digest() - alike on nodes that share the same; 0 for nothing
+ *
+ * What is newer is on its way between them.
+ */
+uint64_t poison_digest(const struct poison *poison, int64_t now);
 /** struct poison_counts - contents by the worst verdict over their callers */
 struct poison_counts {
 	size_t suspect;
--- a/poison_news.c
+++ b/poison_news.c
@@ -6,23 +6,20 @@
 #include "xmalloc.h"
 
 enum {
-	/*
-	 * More nodes than can be told directly are told by relays, each of
-	 * which tells so many: five steps reach 910 nodes.
-	 */
-	RELAY_FANOUT = 8,
-	/* Entries a message, some 200 bytes each. */
+	/* Entries a message, some 120 bytes each. */
 	ENTRIES_A_MESSAGE = 64,
-	/* Sending all evidence takes 20 KB a second at most. */
+	/* Sending all evidence takes 12 KB a second at most. */
 	WHOLE_ENTRY_US = 10000,
+	/* Where digests differ for long, as tables are full. */
+	WHOLE_LEAST_US = 500000,
 };
 
 /* Sending. */
 
-/** struct letter - where evidence goes; @to is empty for @most nodes */
+/** struct letter - where evidence goes; @to is empty for many nodes */
 struct letter {
 	struct str to;
-	size_t most;
+	bool near;
 	bool answer;
 };
 
@@ -33,7 +30,7 @@
 	struct buf body = { 0 };
 	struct msg msg = { .kind = MSG_SUSPECTS,
 			   .state = letter->answer && last,
-			   .hash = poison_digest(news->poison) };
+			   .hash = poison_digest(news->poison, now) };
 
 	parcel_suspects(list, count, now, &body);
 	for (size_t i = 0; i < count; i++)
@@ -42,13 +39,13 @@
 	if (letter->to.len)
 		news->links.send(news->links.ctx, letter->to, &msg);
 	else
-		news->links.spread(news->links.ctx, &msg, letter->most);
+		news->links.spread(news->links.ctx, &msg, letter->near);
 	buf_free(&body);
 }
 
-/* Return: entries, on the heap: news, or all that hold evidence. */
+/* Return: entries, on the heap: news, or all that nodes share. */
 static struct poison_entry **collect(struct poison_news *news, bool all,
-				     size_t *count)
+				     int64_t now, size_t *count)
 {
 	struct poison_entry **list =
 		xcalloc(news->poison->count + 1, sizeof(struct poison_entry *));
@@ -59,7 +56,7 @@
 	     it = apr_hash_next(it))
 		for (struct poison_entry *at = hash_value(it); at;
 		     at = at->next)
-			if (all ? at->ncrashes > 0 : at->news)
+			if (all ? poison_is_shared(at, now) : at->news)
 				list[(*count)++] = at;
 	return list;
 }
@@ -81,23 +78,16 @@
 	} while (sent < count);
 }
 
-static bool is_large(const struct poison_news *news)
+static void send_news(struct poison_news *news, bool near, int64_t now)
 {
-	return news->links.count(news->links.ctx) > POISON_SPREAD_MAX;
-}
-
-void poison_news_send(struct poison_news *news, int64_t now)
-{
-	struct letter letter = { .most = POISON_SPREAD_MAX };
+	struct letter letter = { .near = near };
 	struct poison_entry **list;
 	size_t count;
 
 	if (!news->poison->has_news)
 		return;
 	news->poison->has_news = false;
-	if (is_large(news))
-		letter.most = RELAY_FANOUT;
-	list = collect(news, false, &count);
+	list = collect(news, false, now, &count);
 	if (count)
 		send_all_of(news, &letter, list, count, now);
 	for (size_t i = 0; i < count; i++)
@@ -105,6 +95,11 @@
 	free(list);
 }
 
+void poison_news_send(struct poison_news *news, int64_t now)
+{
+	send_news(news, false, now);
+}
+
 static void send_whole(struct poison_news *news, const struct letter *letter,
 		       int64_t now)
 {
@@ -113,8 +108,8 @@
 
 	if (now < news->whole_at)
 		return;
-	list = collect(news, true, &count);
-	news->whole_at = now + (int64_t)count * WHOLE_ENTRY_US;
+	list = collect(news, true, now, &count);
+	news->whole_at = now + WHOLE_LEAST_US + (int64_t)count * WHOLE_ENTRY_US;
 	send_all_of(news, letter, list, count, now);
 	free(list);
 }
@@ -124,7 +119,7 @@
 {
 	struct letter letter = { .to = from, .answer = true };
 
-	if (digest != poison_digest(news->poison))
+	if (digest != poison_digest(news->poison, now))
 		send_whole(news, &letter, now);
 }
 
@@ -134,7 +129,6 @@
 		     const struct msg *msg, bool targets_known, int64_t now)
 {
 	struct letter letter = { .to = from };
-	bool relay = is_large(news);
 	struct poison_entry *list;
 	apr_pool_t *pool;
 	size_t count;
@@ -142,10 +136,10 @@
 	apr_pool_create(&pool, news->pool);
 	if (!parcel_open_suspects(msg->body, now, pool, &list, &count))
 		for (size_t i = 0; i < count; i++)
-			poison_take(news->poison, &list[i], relay,
+			poison_take(news->poison, &list[i], msg->ran,
 				    targets_known, now);
 	apr_pool_destroy(pool);
-	if (msg->state && msg->hash != poison_digest(news->poison))
+	if (msg->state && msg->hash != poison_digest(news->poison, now))
 		send_whole(news, &letter, now);
-	poison_news_send(news, now);
+	send_news(news, true, now);
 }
--- a/poison_news.h
+++ b/poison_news.h
@@ -7,25 +7,19 @@
  * DOC: evidence against requests, among nodes
  *
  * A request that crashes its targets comes back to any node, so what one knows
- * is sent on at once, and each round of gossip compares digests: a node that
- * missed some of it, or has just started, is sent all.
+ * is sent to all before its caller is answered, and each round of gossip
+ * compares digests: a node that missed some of it, or has just started, is sent
+ * all.
  */
 
-enum {
-	/* Nodes that are told at a time. */
-	POISON_SPREAD_MAX = 32,
-};
-
 /**
  * struct poison_links - how nodes reach each other
- * @count: how many others there are
- * @spread: send to @most of them (POISON_SPREAD_MAX), or to all if these are
- *          fewer
+ * @spread: send to all nodes; those that are to pass it on get @ran set. @near:
+ *          only to those of this failure domain
  * @send: send to the node at @addr
  */
 struct poison_links {
-	size_t (*count)(void *ctx);
-	void (*spread)(void *ctx, const struct msg *msg, size_t most);
+	void (*spread)(void *ctx, const struct msg *msg, bool near);
 	void (*send)(void *ctx, struct str addr, const struct msg *msg);
 	void *ctx;
 };
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -472,17 +472,11 @@
 }
 END_TEST
 
-static size_t nobody(void *ctx)
-{
-	(void)ctx;
-	return 0;
-}
-
-static void tell_nobody(void *ctx, const struct msg *msg, size_t most)
+static void tell_nobody(void *ctx, const struct msg *msg, bool near)
 {
 	(void)ctx;
 	(void)msg;
-	(void)most;
+	(void)near;
 }
 
 static void leave_it(struct calls *calls, struct call *call,
@@ -517,8 +511,7 @@
 	struct note_book notes = { .fx = &fx };
 	struct poison poison;
 	struct poison_news news = { .poison = &poison,
-				    .links = { nobody, tell_nobody, NULL,
-					       NULL },
+				    .links = { tell_nobody, NULL, NULL },
 				    .pool = pool };
 	struct calls calls;
 	struct call *call;
--- a/tests/check_poison.c
+++ b/tests/check_poison.c
@@ -371,8 +371,9 @@
 				      c->verdicts[caller],
 			      "%s: caller %d", c->name, caller);
 	}
-	ck_assert_uint_eq(poison_digest(&scene.poison),
-			  poison_digest(&other.poison));
+	ck_assert_uint_eq(
+		poison_digest(&scene.poison, scene.now + 4 * SECOND_US),
+		poison_digest(&other.poison, scene.now + 4 * SECOND_US));
 	buf_free(&body);
 	scene_destroy(&scene);
 	scene_destroy(&other);
--- a/tier.c
+++ b/tier.c
@@ -40,6 +40,12 @@
 	FRESH_US = 2000000,
 	/* and entries that lapsed while it was away have come back. */
 	AWAY_US = 5000000,
+	/*
+	 * News goes to so many nodes of the domain directly; where there are
+	 * more, to so many that pass it on: four steps reach 910.
+	 */
+	NEWS_DIRECT = 32,
+	NEWS_FANOUT = 8,
 };
 
 struct tier {
@@ -75,13 +81,6 @@
 
 /* Evidence against requests, among nodes. */
 
-static size_t count_others(void *ctx)
-{
-	struct tier *tier = ctx;
-
-	return (size_t)gossip_count(&tier->gossip) - 1;
-}
-
 static void send_news(void *ctx, struct str addr, const struct msg *msg)
 {
 	struct tier *tier = ctx;
@@ -92,15 +91,30 @@
 	fx->msg.body = str_dup(tier->fx->pool, msg->body);
 }
 
-static void spread_news(void *ctx, const struct msg *msg, size_t most)
+static void spread_to(struct tier *tier, struct msg msg, bool pass_on,
+		      struct member_info *const *members, size_t count)
 {
-	struct tier *tier = ctx;
-	struct member_info *picked[POISON_SPREAD_MAX];
-	size_t count =
-		gossip_pick(&tier->gossip, most, tier->calls.now, picked);
-
+	msg.ran = pass_on;
 	for (size_t i = 0; i < count; i++)
-		send_news(tier, picked[i]->addr, msg);
+		send_news(tier, members[i]->addr, &msg);
+}
+
+/* Bytes between domains are paid for: one node of each passes it on there. */
+static void spread_news(void *ctx, const struct msg *msg, bool near)
+{
+	struct tier *tier = ctx;
+	int64_t now = tier->calls.now;
+	bool relays = tier->gossip.near_live > NEWS_DIRECT;
+	struct member_info *members[NEWS_DIRECT];
+	size_t count;
+
+	count = gossip_near(&tier->gossip, relays ? NEWS_FANOUT : NEWS_DIRECT,
+			    now, members);
+	spread_to(tier, *msg, relays, members, count);
+	if (near)
+		return;
+	count = gossip_far(&tier->gossip, NEWS_DIRECT, now, members);
+	spread_to(tier, *msg, true, members, count);
 }
 
 static bool is_published(const void *ctx, const struct poison_crash *crash)
@@ -150,7 +164,7 @@
 		    (struct poison_targets){ is_published, tier->roster });
 	tier->poison_news = (struct poison_news){
 		.poison = &tier->poison,
-		.links = { count_others, spread_news, send_news, tier },
+		.links = { spread_news, send_news, tier },
 		.pool = tier->pool,
 	};
 	tier->calls.poison = &tier->poison;
@@ -480,7 +494,7 @@
 	}
 	share_tick(&tier->share, event->now);
 	if (event->now >= tier->gossip.next_at)
-		tier->gossip.digest = poison_digest(&tier->poison);
+		tier->gossip.digest = poison_digest(&tier->poison, event->now);
 	gossip_tick(&tier->gossip, event->now);
 	count_nodes(tier);
 	reader_tick(&tier->reader, event->now);
