--- a/tests/check_deadly.c
+++ b/tests/check_deadly.c
@@ -26,6 +26,9 @@
 	LATE_MOST = 3,
 	/* Targets that such tries may end: two each, one after the other. */
 	LATER_MOST = 2 * LATE_MOST,
+	STEP_US = 1000,
+	/* Three hops between failure domains. */
+	TOLD_US = 4000,
 	/* Targets crash 8 ms after the request has come. */
 	BEFORE_CRASH_US = 7000,
 	/* From this round on others must be served all the time. */
@@ -444,18 +447,35 @@
 	return knows;
 }
 
+/** struct spread_case - @runs_us: as in struct deadly_case */
+struct spread_case {
+	int nodes;
+	int64_t runs_us;
+};
+
+static const struct spread_case spread_cases[] = {
+	{ NODES, 0 },
+	{ 40, 0 },
+	{ NODES, 40000 },
+	{ 40, 40000 },
+};
+
 /*
- * It comes to another node at once: all must know of it before its caller's
- * next try, also where they are too many to be told by one.
+ * Its caller tries again at another node as soon as it has failed: all must
+ * know of it by then, also where one node cannot tell them all.
  */
 START_TEST(test_evidence_reaches_all_nodes)
 {
-	static const int nodes[] = { NODES, 40 };
-	static const struct deadly_case c = { .kind = STAGE_MERGED };
-	struct stage *stage = begin(nodes[_i], 11);
+	const struct spread_case *c = &spread_cases[_i];
+	static const struct deadly_case once = { .kind = STAGE_MERGED };
+	struct stage *stage = begin(c->nodes, 11);
+	int call;
 
-	ask_deadly(stage, &c, 0, 0);
-	stage_run(stage, RETRY_US);
+	stage->deadly_us = c->runs_us;
+	call = ask_deadly(stage, &once, 0, 0);
+	while (!stage->calls[call].answered_at)
+		stage_run(stage, STEP_US);
+	stage_run(stage, TOLD_US);
 	for (int i = 0; i < stage->nnodes; i++)
 		ck_assert_msg(knows_suspect(stage, i), "node %d of %d", i,
 			      stage->nnodes);
@@ -467,7 +487,8 @@
 {
 	tcase_add_loop_test(tcase, test_deadly_request_is_stopped, 0,
 			    COUNT(deadly_cases));
-	tcase_add_loop_test(tcase, test_evidence_reaches_all_nodes, 0, 2);
+	tcase_add_loop_test(tcase, test_evidence_reaches_all_nodes, 0,
+			    COUNT(spread_cases));
 	tcase_add_loop_test(tcase, test_other_request_is_served, 0,
 			    COUNT(other_cases));
 	tcase_add_loop_test(tcase, test_crashes_of_other_causes, 0,
