Names of where evidence is sent follow the field

Cause: struct letter was a metaphor, and a comment named a parameter that the function does not have; found in reading the diff as a newcomer. Change: struct destination with an addr. No change of behaviour. After: the suites of both engines pass.

--- a/poison.c
+++ b/poison.c
@@ -324,7 +324,7 @@
 		set_news(poison, entry);
 }
 
-/* Return: a caller but that of @entry has sent the same, and it crashed. */
+/* Return: another caller has sent the same, and targets broke under it. */
 static bool others_suspect(const struct poison *poison,
 			   const struct fingerprint *print)
 {
--- a/poison_news.c
+++ b/poison_news.c
@@ -16,30 +16,30 @@
 
 /* Sending. */
 
-/** struct letter - where evidence goes; @to is empty for many nodes */
-struct letter {
-	struct str to;
+/** struct destination - where evidence goes; @addr is empty for many nodes */
+struct destination {
+	struct str addr;
 	bool near;
 	bool answer;
 };
 
-static void send_list(struct poison_news *news, const struct letter *letter,
+static void send_list(struct poison_news *news, const struct destination *to,
 		      struct poison_entry *const *list, size_t count, bool last,
 		      int64_t now)
 {
 	struct buf body = { 0 };
 	struct msg msg = { .kind = MSG_SUSPECTS,
-			   .state = letter->answer && last,
+			   .state = to->answer && last,
 			   .hash = poison_digest(news->poison, now) };
 
 	parcel_suspects(list, count, now, &body);
 	for (size_t i = 0; i < count; i++)
 		list[i]->told = true;
 	msg.body = buf_str(&body);
-	if (letter->to.len)
-		news->links.send(news->links.ctx, letter->to, &msg);
+	if (to->addr.len)
+		news->links.send(news->links.ctx, to->addr, &msg);
 	else
-		news->links.spread(news->links.ctx, &msg, letter->near);
+		news->links.spread(news->links.ctx, &msg, to->near);
 	buf_free(&body);
 }
 
@@ -61,7 +61,7 @@
 	return list;
 }
 
-static void send_all_of(struct poison_news *news, const struct letter *letter,
+static void send_all_of(struct poison_news *news, const struct destination *to,
 			struct poison_entry *const *list, size_t count,
 			int64_t now)
 {
@@ -72,7 +72,7 @@
 				      ? count - sent
 				      : ENTRIES_A_MESSAGE;
 
-		send_list(news, letter, list + sent, part, sent + part == count,
+		send_list(news, to, list + sent, part, sent + part == count,
 			  now);
 		sent += part;
 	} while (sent < count);
@@ -80,7 +80,7 @@
 
 static void send_news(struct poison_news *news, bool near, int64_t now)
 {
-	struct letter letter = { .near = near };
+	struct destination to = { .near = near };
 	struct poison_entry **list;
 	size_t count;
 
@@ -89,7 +89,7 @@
 	news->poison->has_news = false;
 	list = collect(news, false, now, &count);
 	if (count)
-		send_all_of(news, &letter, list, count, now);
+		send_all_of(news, &to, list, count, now);
 	for (size_t i = 0; i < count; i++)
 		list[i]->news = false;
 	free(list);
@@ -100,7 +100,7 @@
 	send_news(news, false, now);
 }
 
-static void send_whole(struct poison_news *news, const struct letter *letter,
+static void send_whole(struct poison_news *news, const struct destination *to,
 		       int64_t now)
 {
 	struct poison_entry **list;
@@ -110,17 +110,17 @@
 		return;
 	list = collect(news, true, now, &count);
 	news->whole_at = now + WHOLE_LEAST_US + (int64_t)count * WHOLE_ENTRY_US;
-	send_all_of(news, letter, list, count, now);
+	send_all_of(news, to, list, count, now);
 	free(list);
 }
 
 void poison_news_digest(struct poison_news *news, struct str from,
 			uint64_t digest, int64_t now)
 {
-	struct letter letter = { .to = from, .answer = true };
+	struct destination to = { .addr = from, .answer = true };
 
 	if (digest != poison_digest(news->poison, now))
-		send_whole(news, &letter, now);
+		send_whole(news, &to, now);
 }
 
 /* Receiving. */
@@ -128,7 +128,7 @@
 void poison_news_msg(struct poison_news *news, struct str from,
 		     const struct msg *msg, bool targets_known, int64_t now)
 {
-	struct letter letter = { .to = from };
+	struct destination to = { .addr = from };
 	struct poison_entry *list;
 	apr_pool_t *pool;
 	size_t count;
@@ -140,6 +140,6 @@
 				    targets_known, now);
 	apr_pool_destroy(pool);
 	if (msg->state && msg->hash != poison_digest(news->poison, now))
-		send_whole(news, &letter, now);
+		send_whole(news, &to, now);
 	send_news(news, true, now);
 }
