Soak counts repeats, targets and times at the targets; hypotheses of the incident

Cause of the change: real runs could not tell the hypotheses apart.

Callers keep open connections until the process closes them. A second shape has the size of a site (50 shards in two of four failure domains, cold targets with bounds, callers that repeat at another node). Faults are chosen by name and come in overlapping series; a part of all replies can be lost. Late poison requests say whether their node was in touch. No check is weaker; those there before are unchanged.

Before: nothing counted.

Hypotheses are written before any change of logic.

--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -10,6 +10,7 @@
 import json
 import random
 import time
+from typing import NamedTuple
 
 RECORD = 16
 # A request with this in its path crashes each target that runs it.
@@ -116,14 +117,31 @@
             writer.close()
 
 
+class Arrival(NamedTuple):
+    """A request that a target received; remaining_ms is None without one."""
+    at: float
+    service: str
+    target_id: str
+    request_id: str
+    remaining_ms: int | None
+    ran: bool
+
+
 class ExecutionLog:
     """Requests that targets received and ran, by request id."""
 
     def __init__(self):
+        self.arrivals = []
         self.runs = {}
         self.late_arrivals = []
         self.crashes = []  # (time, request id) of each target crash
 
+    def record_arrival(self, target, request_id, headers, ran):
+        remaining = headers.get("request-deadline")
+        self.arrivals.append(Arrival(
+            time.monotonic(), target.service, target.id, request_id,
+            int(remaining) if remaining else None, ran))
+
     def record_run(self, request_id, target_id):
         self.runs.setdefault(request_id, []).append(target_id)
 
@@ -136,8 +154,11 @@
         self.execution_log, self.service_time = execution_log, service_time
         self.slots = asyncio.Semaphore(2)
         self.draining_since = None
+        self.ended = []  # times of its crashes
+        self.link_faults = []  # (start, end) of disturbances of its link
         self.shed_share = self.drop_share = self.duplicate_share = 0.0
         self.paused_until = 0.0
+        self.cold_left_ms = 0
         self.server = None
         self.port = 0
         self.born = int(time.time() * 1000)
@@ -152,7 +173,7 @@
         state = "draining" if self.draining_since else "ready"
         return {"service": self.service, "addr": addr, "zone": self.zone,
                 "version": "v1", "slots": 2, "state": state,
-                "cold_left_ms": 0, "seq": 1, "born": self.born}
+                "cold_left_ms": self.cold_left_ms, "seq": 1, "born": self.born}
 
     async def handle_request(self, head, body):
         request_id = head[1].get("request-id", "")
@@ -161,7 +182,10 @@
         if (self.draining_since
                 and time.monotonic() - self.draining_since > 3.5):
             self.execution_log.late_arrivals.append((self.id, request_id))
-        if random.random() < self.shed_share:
+        sheds = random.random() < self.shed_share
+        self.execution_log.record_arrival(self, request_id, head[1],
+                                          not sheds)
+        if sheds:
             return response(503, {"Not-Executed": "1"}, b"")
         async with self.slots:
             self.execution_log.record_run(request_id, self.id)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,13 +8,14 @@
 import subprocess
 import tempfile
 import time
+from typing import NamedTuple
 
+import budget
 import fakes
 
-SHARDS, ZONES, SINGLE_TARGETS = 8, ("za", "zb", "zc"), 6
 TOP_K, MIN_SHARE, GOAL_MS, TIMEOUT_MS = 5, 0.75, 150, 1500
+MAX_ATTEMPTS = 2
 SERVICE_TIME_S = 0.004
-CALLERS = 12
 # A caller gives up after this time; no request may be held longer.
 CALLER_TIMEOUT_S = 4.0
 ROUTES = {"all": "/all/", "one": "/one/", "once": "/once/"}
@@ -22,6 +23,57 @@
 # How many poison requests may still crash a target later than LATE_AFTER_S
 # after the third crash.
 MAX_LATE_POISON_REQUESTS, LATE_AFTER_S = 3, 4.0
+# A node counts as in touch this long after its last fault.
+IN_TOUCH_AFTER_S = 4.0
+
+
+class Shape(NamedTuple):
+    """Size of a deployment and how it is asked.
+
+    Callers each have one request in flight; with a rate, requests are sent at
+    that many per second however long they take. A caller that was not served
+    repeats the request once, at another node.
+    """
+    shards: int
+    zones: tuple
+    target_zones: int  # zones that hold targets of the shards
+    single_targets: int
+    callers: int
+    rate: float = 0
+    repeats: int = 0
+    cold_ms: int = 0
+    cold_per_s: float = 0
+
+
+SHAPES = {
+    "small": Shape(8, ("za", "zb", "zc"), 3, 6, 12),
+    "site": Shape(50, ("za", "zb", "zc", "zd"), 2, 13, 0, rate=25, repeats=1,
+                  cold_ms=3000, cold_per_s=20),
+}
+
+
+# Faults by name, and bounds of the pause between the starts of two of them.
+PROFILES = {
+    "mixed": (("pause_target", "pause_target", "shed_requests",
+               "drop_replies", "duplicate_replies", "delay_link",
+               "stall_link", "stall_replies", "reset_links", "drain_target",
+               "fail_store", "stall_store", "reconfigure", "kill_node",
+               "stop_node", "pause_node", "reload_node"), (0.05, 0.5)),
+    "restarts": (("kill_each", "stop_each", "kill_all", "kill_node",
+                  "pause_node", "pause_node", "drop_many_replies",
+                  "drop_many_replies", "reset_links"), (0.3, 3.0)),
+}
+
+
+class Request(NamedTuple):
+    """A caller's request. Its services are those of the configuration."""
+    at: float
+    node: int
+    kind: str
+    services: tuple
+    max_attempts: int
+    deadline_s: float
+    in_touch: bool
 
 
 class Fleet:
@@ -29,6 +81,7 @@
 
     def __init__(self, program, seed, args):
         self.program, self.args = program, args
+        self.shape = SHAPES[args.shape]
         self.rng = random.Random(seed)
         self.dir = tempfile.mkdtemp(prefix=f"soak-{seed}-")
         self.store, self.execution_log = (fakes.Store(),
@@ -37,7 +90,9 @@
         self.answers, self.violations, self.not_run_ids = [], [], []
         self.version, self.shard_prefix = 1, "s"
         self.stopping = False
-        self.timed_out, self.route_kinds, self.stdout = 0, {}, None
+        self.timed_out, self.requests, self.stdout = 0, {}, None
+        self.fault_at = [0.0] * args.nodes
+        self.store_fault_at, self.tasks, self.conns = 0.0, set(), {}
 
     # Fake targets and store.
 
@@ -45,6 +100,8 @@
         target = fakes.Target(f"i{len(self.targets)}", service, zone,
                               self.execution_log, SERVICE_TIME_S)
         target.on_crash = self.crash_target
+        if self.procs and service != "single":
+            target.cold_left_ms = self.shape.cold_ms
         await target.start()
         proxy = fakes.Proxy(lambda: target.port)
         await proxy.start()
@@ -58,14 +115,19 @@
         self.store.put(f"servers/{target.id}", target.entry(addr))
 
     async def add_shards(self, name):
-        for i in range(SHARDS):
+        for i in range(self.shape.shards):
             for j in range(2):
-                await self.add_target(f"{name}{i}", ZONES[(i + j) % 3])
+                zone = (i + j) % self.shape.target_zones
+                await self.add_target(f"{name}{i}", self.shape.zones[zone])
+
+    def shard_services(self):
+        return tuple(f"{self.shard_prefix}{i}"
+                     for i in range(self.shape.shards))
 
     def configure(self):
         common = {"host": "h.example", "timeout_ms": TIMEOUT_MS,
-                  "goal_ms": GOAL_MS, "priority": 1, "max_attempts": 2}
-        shards = [f"{self.shard_prefix}{i}" for i in range(SHARDS)]
+                  "goal_ms": GOAL_MS, "priority": 1, "max_attempts": MAX_ATTEMPTS}
+        shards = list(self.shard_services())
         routes = [
             dict(common, name="all", prefix=ROUTES["all"], kind="idempotent",
                  gather=shards, top_k=TOP_K, min_share=MIN_SHARE),
@@ -74,8 +136,10 @@
             dict(common, name="once", prefix=ROUTES["once"],
                  kind="non_idempotent", service="single")]
         services = [{"name": n, "health_path": "/health", "max_conns": 60,
-                     "protocol": "h1", "tls": False, "warmup_s": 0.0,
-                     "cold_per_s": 0.0} for n in shards + ["single"]]
+                     "protocol": "h1", "tls": False,
+                     "warmup_s": self.shape.cold_ms / 1000,
+                     "cold_per_s": self.shape.cold_per_s}
+                    for n in shards + ["single"]]
         self.store.put("op/config", {
             "version": self.version, "routes": routes, "services": services,
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
@@ -86,20 +150,25 @@
     def ip(self, node):
         return f"127.0.{self.args.net}.{node + 1}"
 
+    def zone(self, number):
+        return self.shape.zones[number % len(self.shape.zones)]
+
     def start_node(self, node):
+        self.fault_at[node] = time.monotonic()
         ip, port = self.ip(node), self.args.port
         path = os.path.join(self.dir, f"node{node}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump({
                 "node_name": f"node{node}", "ip": ip,
-                "zone": ZONES[node % 3], "internal_ports": [port, port + 9],
+                "zone": self.zone(node), "internal_ports": [port, port + 9],
                 "listen": {"front": f"{ip}:{port + 11}",
                            "ready": f"{ip}:{port + 12}"},
                 "seeds": [f"{self.ip(0)}:1", f"{self.ip(1)}:1"],
                 "limits": {"cpu_share": 1, "cores": 1, "memory_mb": 260},
                 "bounds": {"drain_ms": 3000, "grace_s": 3,
-                           "budget_ratio": 0.2, "budget_window_s": 10,
-                           "budget_extra": 60},
+                           "budget_ratio": budget.RATIO,
+                           "budget_window_s": budget.WINDOW_S,
+                           "budget_extra": budget.EXTRA},
                 "platform": {"addr": f"127.0.0.1:{self.store_proxy.port}"},
             }, file)
         log = open(os.path.join(self.dir, f"node{node}.log"), "ab")
@@ -110,6 +179,7 @@
 
     def signal_node(self, node, number):
         proc = self.procs.get(node)
+        self.fault_at[node] = time.monotonic()
         if proc and proc.poll() is None:
             proc.send_signal(number)
 
@@ -140,10 +210,13 @@
         target.duplicate_share = 0
 
     async def degrade_link(self, field, value):
-        proxy = self.proxies[self.random_target().id]
+        target = self.random_target()
+        proxy = self.proxies[target.id]
+        start = time.monotonic()
         setattr(proxy, field, value)
         await asyncio.sleep(0.8)
         setattr(proxy, field, type(value)())
+        target.link_faults.append((start, time.monotonic()))
 
     async def delay_link(self):
         await self.degrade_link("delay", 0.05)
@@ -170,6 +243,7 @@
     def crash_target(self, target):
         """Abort all connections of the target and restart it later."""
         proxy = self.proxies[target.id]
+        target.ended.append(time.monotonic())
         proxy.refuses = True
         proxy.reset()
         asyncio.create_task(self.restart_target(target, proxy))
@@ -178,18 +252,21 @@
         await asyncio.sleep(self.rng.uniform(0.6, 1.2))
         proxy.refuses = False
         target.born += 1
+        target.cold_left_ms = self.shape.cold_ms
         self.publish(target)
 
     async def fail_store(self):
         self.store.down = self.rng.choice((True, "stalled"))
         await asyncio.sleep(1.5)
         self.store.down = False
+        self.store_fault_at = time.monotonic()
 
     async def stall_store(self):
         self.store_proxy.stalled = True
         await asyncio.sleep(1.0)
         self.store_proxy.stalled = False
         self.store_proxy.reset()
+        self.store_fault_at = time.monotonic()
 
     async def reconfigure(self):
         if self.shard_prefix == "s" and self.rng.random() < 0.4:
@@ -235,16 +312,81 @@
         if not self.stopping and proc.poll() is not None:
             self.start_node(node)
 
+    async def restart_each(self, stop):
+        """All nodes one after the other."""
+        gap = self.rng.uniform(0.2, 1.5)
+        for node in self.rng.sample(range(self.args.nodes), self.args.nodes):
+            self.signal_node(node, stop)
+            self.start_task(self.restart_when_ended(node))
+            await asyncio.sleep(gap)
+
+    async def kill_each(self):
+        await self.restart_each(signal.SIGKILL)
+
+    async def stop_each(self):
+        await self.restart_each(signal.SIGTERM)
+
+    async def kill_all(self):
+        for node in range(self.args.nodes):
+            self.signal_node(node, signal.SIGKILL)
+            self.start_task(self.restart_when_ended(node))
+
+    async def restart_when_ended(self, node):
+        proc = self.procs[node]
+        while proc.poll() is None:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(self.rng.uniform(0.1, 0.6))
+        self.restart_node(node)
+
+    async def drop_many_replies(self):
+        """Half of the targets lose a part of their replies."""
+        share = self.rng.uniform(0.1, 0.6)
+        chosen = self.rng.sample(self.targets, len(self.targets) // 2)
+        for target in chosen:
+            target.drop_share = share
+        await asyncio.sleep(self.rng.uniform(3, 8))
+        for target in chosen:
+            target.drop_share = 0.0
+
+    async def lose_replies(self, until):
+        """All targets lose a part of their replies, so most need a retry."""
+        while time.monotonic() < until:
+            for target in self.targets:
+                target.drop_share = self.args.lost_share
+            await asyncio.sleep(0.5)
+        for target in self.targets:
+            target.drop_share = 0.0
+
     # Callers.
 
     def report(self, text):
         self.violations.append(text)
 
-    async def send_request(self, node, kind, request_id, path=None):
-        """Send one request on a new connection; (status, headers, body)."""
-        self.route_kinds[request_id] = kind
-        reader, writer = await asyncio.wait_for(asyncio.open_connection(
+    def record_request(self, node, kind, request_id):
+        now = time.monotonic()
+        calm_since = max(self.fault_at[node], self.store_fault_at)
+        self.requests[request_id] = Request(
+            now, node, kind,
+            self.shard_services() if kind == "all" else ("single",),
+            MAX_ATTEMPTS, TIMEOUT_MS / 1000,
+            not self.store.down and not self.store_proxy.stalled
+            and now - calm_since > IN_TOUCH_AFTER_S)
+
+    async def open_conn(self, node):
+        """Callers keep open connections until the process closes them."""
+        idle = self.conns.setdefault(node, [])
+        while idle:
+            reader, writer = idle.pop()
+            if not reader.at_eof():
+                return reader, writer
+            writer.close()
+        return await asyncio.wait_for(asyncio.open_connection(
             self.ip(node), self.args.port + 11), 1.0)
+
+    async def send_request(self, node, kind, request_id, path=None):
+        """Send one request; (status, headers, body)."""
+        self.record_request(node, kind, request_id)
+        reader, writer = await self.open_conn(node)
         body = b"x" * 40 if kind == "once" else b""
         method = "POST" if kind == "once" else "GET"
         head = (f"{method} {ROUTES[kind]}{path or request_id} HTTP/1.1\r\n"
@@ -256,47 +398,74 @@
             reply = await fakes.read_head(reader)
             if not reply:
                 return None
-            return (int(reply[0].split()[1]), reply[1],
-                    await fakes.read_body(reader, reply[1]))
+            body = await fakes.read_body(reader, reply[1])
+            if reply[1].get("connection", "").lower() != "close":
+                self.conns[node].append((reader, writer))
+                writer = None
+            return int(reply[0].split()[1]), reply[1], body
         finally:
-            writer.close()
+            if writer:
+                writer.close()
+
+    async def call(self, node, kind, request_id, path=None):
+        """Send one request and check its reply; (served, reply)."""
+        start = time.monotonic()
+        try:
+            reply = await asyncio.wait_for(
+                self.send_request(node, kind, request_id, path),
+                CALLER_TIMEOUT_S)
+        except asyncio.TimeoutError:
+            reply = "timed out"
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            reply = None
+        if not path:
+            self.check_reply(kind, request_id, reply)
+            self.answers.append((start, kind, reply))
+        return reply not in (None, "timed out") and reply[0] == 200
+
+    async def call_with_repeats(self, request_id, kind, path=None):
+        """A request, and its repeats at other nodes while it fails."""
+        node = self.rng.randrange(self.args.nodes)
+        for attempt in range(1 + self.shape.repeats):
+            if await self.call(node, kind, f"{request_id}-{attempt}", path):
+                return
+            node = (node + 1) % self.args.nodes
+
+    def random_kind(self):
+        return self.rng.choice(("all", "all", "one", "once"))
 
     async def run_caller(self, number):
         count = 0
         while not self.stopping:
-            kind = self.rng.choice(("all", "all", "one", "once"))
-            node = self.rng.randrange(self.args.nodes)
-            request_id = f"{os.getpid()}-c{number}-{count}"
+            await self.call_with_repeats(f"{os.getpid()}-c{number}-{count}",
+                                         self.random_kind())
             count += 1
-            start = time.monotonic()
-            try:
-                reply = await asyncio.wait_for(
-                    self.send_request(node, kind, request_id),
-                    CALLER_TIMEOUT_S)
-            except asyncio.TimeoutError:
-                reply = "timed out"
-            except (OSError, asyncio.IncompleteReadError, ValueError):
-                reply = None
-            self.check_reply(kind, request_id, reply)
-            self.answers.append((start, kind, reply))
             await asyncio.sleep(self.rng.uniform(0.005, 0.05))
 
+    def start_task(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def run_arrivals(self):
+        """Requests at the shape's rate, however long they take."""
+        count = 0
+        while not self.stopping:
+            self.start_task(self.call_with_repeats(
+                f"{os.getpid()}-a{count}", self.random_kind()))
+            count += 1
+            await asyncio.sleep(self.rng.expovariate(self.shape.rate))
+
     async def run_poison_caller(self):
         """Send poison requests, which crash each target that runs them."""
         count = 0
         while not self.stopping:
-            node = self.rng.randrange(self.args.nodes)
-            request_id = f"{os.getpid()}-{fakes.POISON_PATH}-{count}"
+            await self.call_with_repeats(
+                f"{os.getpid()}-{fakes.POISON_PATH}-{count}", "all",
+                fakes.POISON_PATH)
             count += 1
-            try:
-                await asyncio.wait_for(
-                    self.send_request(node, "all", request_id,
-                                      fakes.POISON_PATH),
-                    CALLER_TIMEOUT_S)
-            except (OSError, asyncio.IncompleteReadError, ValueError,
-                    asyncio.TimeoutError):
-                pass
-            await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+            await asyncio.sleep(self.rng.uniform(0.1, 0.8)
+                                * self.args.poison_gap)
 
     def check_poison(self):
         crashes = sorted(self.execution_log.crashes)
@@ -304,8 +473,10 @@
             return
         late = {r for t, r in crashes if t > crashes[2][0] + LATE_AFTER_S}
         if len(late) > MAX_LATE_POISON_REQUESTS:
+            in_touch = sum(self.requests[r].in_touch for r in late)
             self.report(f"{len(late)} poison requests ran too late, "
-                        f"{len(crashes)} target crashes")
+                        f"{len(crashes)} target crashes, {in_touch} of them "
+                        "sent to nodes in touch")
 
     def check_reply(self, kind, request_id, reply):
         if reply in (None, "timed out"):
@@ -336,9 +507,10 @@
             self.report(f"{request_id}: shard counted twice")
         if len({s[0] for s in services}) > 1:
             self.report(f"{request_id}: parts come from two configurations")
-        if len(services) + int(headers.get("missing-parts", 0)) != SHARDS:
+        shards = self.shape.shards
+        if len(services) + int(headers.get("missing-parts", 0)) != shards:
             self.report(f"{request_id}: parts and missing parts do not add up")
-        if len(services) < MIN_SHARE * SHARDS:
+        if len(services) < MIN_SHARE * shards:
             self.report(f"{request_id}: fewer parts than the minimum share")
         records = sorted((r for target_id in target_ids for r in
                           fakes.part_records(target_id, request_id)),
@@ -353,11 +525,23 @@
         self.timed_out = sum(reply == "timed out"
                              for _, _, reply in self.answers)
         for request_id, ran in self.execution_log.runs.items():
-            if self.route_kinds.get(request_id) == "once" and len(ran) > 1:
+            request = self.requests.get(request_id)
+            if request and request.kind == "once" and len(ran) > 1:
                 self.report(f"{request_id}: ran twice")
         for target_id, request_id in self.execution_log.late_arrivals:
             self.report(f"{request_id}: sent to {target_id} after its drain")
 
+    def check_budget(self):
+        arrivals = self.execution_log.arrivals
+        targets = {target.id: target for target in self.targets}
+        for text in budget.violations(arrivals, self.requests, targets):
+            self.report(text)
+
+    def budget_summary(self):
+        worst = budget.worst_window(self.execution_log.arrivals,
+                                    self.requests)
+        return str(worst) if worst else "no repeats"
+
     # Running.
 
     async def wait_ready(self):
@@ -380,16 +564,17 @@
         self.report("not all nodes were ready within 10 s")
 
     async def inject_faults(self, until):
-        faults = [self.pause_target, self.pause_target, self.shed_requests,
-                  self.drop_replies, self.duplicate_replies, self.delay_link,
-                  self.stall_link, self.stall_replies, self.reset_links,
-                  self.drain_target, self.fail_store, self.stall_store,
-                  self.reconfigure, self.kill_node, self.stop_node,
-                  self.pause_node, self.reload_node]
+        names, gap = PROFILES.get(self.args.faults,
+                                  (self.args.faults.split(","), (0.5, 2.0)))
+        if self.args.lost_share:
+            self.start_task(self.lose_replies(until))
+        await self.inject(until, [getattr(self, name) for name in names], gap)
+
+    async def inject(self, until, faults, gap):
         tasks = []
         while time.monotonic() < until:
             tasks.append(asyncio.create_task(self.rng.choice(faults)()))
-            await asyncio.sleep(self.rng.uniform(0.05, 0.5))
+            await asyncio.sleep(self.rng.uniform(*gap))
         await asyncio.gather(*tasks)
 
     async def check_recovery(self):
@@ -421,8 +606,8 @@
             lambda: store.sockets[0].getsockname()[1])
         await self.store_proxy.start()
         await self.add_shards("s")
-        for i in range(SINGLE_TARGETS):
-            await self.add_target("single", ZONES[i % 3])
+        for i in range(self.shape.single_targets):
+            await self.add_target("single", self.zone(i))
         self.configure()
         for node in range(self.args.nodes):
             self.start_node(node)
@@ -431,18 +616,23 @@
     async def run(self):
         await self.start_all()
         callers = [asyncio.create_task(self.run_caller(i))
-                   for i in range(CALLERS)]
-        callers.append(asyncio.create_task(self.run_poison_caller()))
+                   for i in range(self.shape.callers)]
+        if self.shape.rate:
+            callers.append(asyncio.create_task(self.run_arrivals()))
+        if self.args.poison_gap:
+            callers.append(asyncio.create_task(self.run_poison_caller()))
         await self.inject_faults(time.monotonic() + self.args.seconds)
         await asyncio.sleep(3.0)
         await self.check_recovery()
         self.stopping = True
         await asyncio.gather(*callers)
+        await asyncio.gather(*self.tasks)
         # Connections that are still open are cancelled with the loop; do not
         # log that.
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         self.check_executions()
         self.check_poison()
+        self.check_budget()
 
     def close(self):
         for proc in self.procs.values():
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -2,6 +2,8 @@
 
     python3 soak/soak.py PROGRAM FIRST COUNT
                          [--seconds S] [--nodes N] [--port P] [--net N]
+                         [--shape small|site] [--faults NAMES]
+                         [--lost-share X] [--poison-gap X]
 
 Runs seeds FIRST to FIRST + COUNT - 1 and prints one line for each seed and
 "N passed, N failed" at the end. The logs of failed seeds are kept under
@@ -15,7 +17,7 @@
 import sys
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from fleet import Fleet  # noqa: E402  (needs the path set above)
+from fleet import Fleet, SHAPES  # noqa: E402  (needs the path set above)
 
 
 def main():
@@ -28,6 +30,15 @@
     parser.add_argument("--port", type=int, default=17000)
     parser.add_argument("--net", type=int, default=40,
                         help="third octet of the nodes' IP addresses")
+    parser.add_argument("--shape", choices=SHAPES, default="small")
+    parser.add_argument("--faults", default="mixed",
+                        help="mixed, restarts, or names of faults: "
+                        "kill_each,pause_node")
+    parser.add_argument("--lost-share", type=float, default=0,
+                        help="part of the replies that all targets lose")
+    parser.add_argument("--poison-gap", type=float, default=1,
+                        help="factor of the pauses between poison requests; "
+                        "0 for none of them")
     args = parser.parse_args()
     failed = 0
     for seed in range(args.first, args.first + args.count):
@@ -39,8 +50,8 @@
         served = sum(1 for a in fleet.answers
                      if a[2] and a[2] != "timed out" and a[2][0] == 200)
         print(f"seed {seed}: {len(fleet.answers)} requests, {served} served, "
-              f"{fleet.timed_out} held, {len(fleet.violations)} faults",
-              flush=True)
+              f"{fleet.timed_out} held, {len(fleet.violations)} faults; "
+              f"{fleet.budget_summary()}", flush=True)
         for text in fleet.violations[:10]:
             print(f"  {text}")
         if fleet.violations:
--- a/tests/tier_process.py
+++ b/tests/tier_process.py
@@ -37,7 +37,8 @@
 
 
 def run_case(port, kind, break_target, status, cause):
-    args = argparse.Namespace(nodes=3, net=FIRST_NET + port % 100, port=port,
+    args = argparse.Namespace(shape="small", nodes=3,
+                              net=FIRST_NET + port % 100, port=port,
                               seconds=1)
     fleet = Fleet(os.environ["BUILD"] + "/wasabimoor", SEED, args)
     try:
@@ -73,7 +74,8 @@
 def test_blocked_request_explained(port):
     """A request that crashes its targets is refused, and the log names the
     earlier request that crashed them."""
-    args = argparse.Namespace(nodes=3, net=FIRST_NET + 9, port=port + 4,
+    args = argparse.Namespace(shape="small", nodes=3,
+                              net=FIRST_NET + 9, port=port + 4,
                               seconds=1)
     fleet = Fleet(os.environ["BUILD"] + "/wasabimoor", SEED, args)
 
@@ -103,7 +105,8 @@
 
 def test_stopped_reader(port):
     """A node whose output is never read keeps serving."""
-    args = argparse.Namespace(nodes=1, net=FIRST_NET + 8, port=port + 3,
+    args = argparse.Namespace(shape="small", nodes=1,
+                              net=FIRST_NET + 8, port=port + 3,
                               seconds=1)
     fleet = Fleet(os.environ["BUILD"] + "/wasabimoor", SEED, args)
     read_end, write_end = os.pipe()
