--- a/tests/sim.c
+++ b/tests/sim.c
@@ -341,6 +341,7 @@
 		sim_kill_node(sim, i);
 	for (size_t i = 0; i < sim->queue->count; i++)
 		sim_event_free(&sim->queue->list[i]);
+	free(sim->budget.list);
 	free(sim->queue->list);
 	free(sim->queue);
 	free(sim->store);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -2,6 +2,7 @@
 
 #include "../rng.h"
 #include "../tier.h"
+#include "sim_budget.h"
 
 /**
  * DOC: discrete-event simulation of a tier
@@ -149,6 +150,7 @@
 	int late_arrivals_leaving;
 	struct sim_poison poison[SIM_POISON_MAX];
 	int64_t poison_run_us; /* time to the crash; 0: usual service time */
+	struct sim_budget budget;
 	int extra_sends;
 	int first_sends;
 	uint64_t store_calls;
--- a/tests/sim_targets.c
+++ b/tests/sim_targets.c
@@ -153,10 +153,12 @@
 		sim->late_arrivals_out_domain++;
 	if (shard < 0)
 		return;
-	if (call->targets_of_shard[shard])
+	if (call->targets_of_shard[shard]) {
 		sim->extra_sends++;
-	else
+		sim_budget_add(&sim->budget, shard, sim->now);
+	} else {
 		sim->first_sends++;
+	}
 	sent_to = &call->sent_to[shard][target_index / 64];
 	/* A repeat at a target is an extra send, but not a new target. */
 	if (*sent_to & bit)
