A share of the retries accrues while it is held

What callers saw: under a restart of nodes in turn, planned or not, with many replies lost, targets of a shard got more repeats than all nodes together may send, and with them longer queues.

Cause: budget.c counts what its own process sent. A process that starts took its whole share of the extra retries at once, though the process before it had used the same share within the same window; so did a node that came to merge, beside the one that had merged; so did nodes on both sides of a cut once they no longer counted each other, and nodes that started behind one and knew nobody. The bound of all nodes rests on shares that add up to one, but a window saw several holders of each.

Ruled out: pauses, batches that run twice.

Change: a share accrues over a window, by the time that it was held: whoever holds it, and however often that changes, one share accrues per window. A window can use what accrued before it and within it, so half of the extra retries are given out. A node that went without notice keeps its share for ten minutes; a node that has not met all of its seeds holds none. The platform's word that VMs are new means that nobody used the share before.

Price: half of the extra retries in steady state, and fewer after a start; to be measured.

--- a/budget.h
+++ b/budget.h
@@ -10,8 +10,9 @@
  *
  * Hedges and retries are limited for each service over all nodes together. Each
  * node keeps to its own part: a ratio of its own first attempts at the service,
- * plus its share of the extra retries, by default one over the number of nodes.
- * The parts add up to less than the limit, so it holds without coordination.
+ * plus its share of the extra retries, which accrues over a window. The parts
+ * add up to less than the limit, so it holds without coordination, also while
+ * processes restart and shares move between nodes.
  */
 
 struct budget;
@@ -28,17 +29,24 @@
 	int64_t window_us;
 };
 
-struct budget *budget_create(apr_pool_t *parent, struct budget_rules rules);
+/**
+ * budget_create() - create a budget without any attempts.
+ * @held_since: start of the process, or long ago if no other one used its share
+ *              before
+ */
+struct budget *budget_create(apr_pool_t *parent, struct budget_rules rules,
+			     int64_t held_since);
 void budget_destroy(struct budget *budget);
 void budget_set_rules(struct budget *budget, struct budget_rules rules);
-/** budget_set_nodes() - set how many nodes share the limit, at least 1. */
-void budget_set_nodes(struct budget *budget, int nodes);
-/** budget_count_first_attempt() - count a first attempt at @service. */
+/**
+ * budget_count_first_attempt() - count a first attempt at @service.
+ * @share: this node's share of the extra retries, 0 to 1
+ */
 void budget_count_first_attempt(struct budget *budget, uint64_t service,
-				int64_t now);
+				double share, int64_t now);
 /**
  * budget_take_retry() - take one hedge or retry from the budget of @service.
- * @share: this node's share of the extra retries, 0 for an equal share
+ * @share: this node's share of the extra retries, 0 to 1
  *
  * Return: true if it is allowed, and then counted.
  */
--- a/call.c
+++ b/call.c
@@ -318,7 +318,7 @@
 		return SEND_NO_TARGET;
 	if (!part->ntried && !part->sent_elsewhere) {
 		budget_count_first_attempt(calls->budget, part->service,
-					   calls->now);
+					   call->retry_share, calls->now);
 		metric_add(&calls->decision_log->metrics, METRIC_SENT);
 	} else if (budget_take_retry(calls->budget, part->service,
 				     call->retry_share, calls->now)) {
--- a/call.h
+++ b/call.h
@@ -158,7 +158,7 @@
  *                shards of other failure domains in turn
  * @retries_granted: @origin has sent the retry grant: this node may send each
  *                   shard to further targets
- * @retry_share: this node's share of the extra retries, 0 for an equal share
+ * @retry_share: this node's share of the extra retries
  * @ntried: number of targets per shard that other nodes may already have used
  * @batches: open batches of shards that were delegated to other nodes
  * @delegations: how often the whole question was delegated
--- a/forward.c
+++ b/forward.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "gossip.h"
 #include "trial.h"
 #include "xmalloc.h"
 
@@ -101,6 +102,7 @@
 	call->nparts = 1;
 	call->parts = apr_pcalloc(call->pool, sizeof(*call->parts));
 	call->parts[0].service = forward_pick_service(calls, call->route);
+	call->retry_share = gossip_equal_share(calls->gossip, calls->now);
 	if (!balancer_first_target(calls->balancer, call->parts[0].service)) {
 		call_refuse(calls, call, 503, "no target of the service",
 			    RETRY_AFTER_US);
--- a/gossip.c
+++ b/gossip.c
@@ -41,12 +41,15 @@
 	DOWN_TIMEOUT_US = 3500000,
 	/* Other failure domains send gossip less often. */
 	FAR_DOWN_TIMEOUT_US = 8000000,
+	/* A node that is down keeps its part of the targets' connections. */
+	COUNTED_TIMEOUT_US = 15000000,
 	/*
-	 * A node that is down may only be partitioned. It keeps its share of
-	 * the shared limits for as long as most partitions last.
+	 * A node that is down may only be partitioned, and then goes on using
+	 * its share of the retries. So the others do not take it over for as
+	 * long as partitions last. Where the node is lost for good, they have
+	 * fewer extra retries meanwhile.
 	 */
-	COUNTED_TIMEOUT_US = 15000000,
-	FORGET_TIMEOUT_US = 60000000,
+	FORGET_TIMEOUT_US = 600000000,
 	ADDR_TEXT_MAX = 32,
 };
 
@@ -94,6 +97,7 @@
 				   .started_at = now,
 				   .near_live = 1,
 				   .counted = 1,
+				   .holders = 1,
 				   .near_counted = 1 };
 	gossip->members = hash_make(pool);
 	gossip->self.ip = ip_number(settings->ip);
@@ -126,6 +130,12 @@
 	return now - member->last_beat_at < COUNTED_TIMEOUT_US;
 }
 
+bool gossip_holds_share(const struct member_info *member, int64_t now)
+{
+	return gossip_is_counted(member, now) ||
+	       !(member->entry.state & MEMBER_LEAVING);
+}
+
 bool gossip_is_live(const struct member_info *member, int64_t now)
 {
 	return is_up(member, now) && !(member->entry.state & MEMBER_LEAVING);
@@ -179,6 +189,28 @@
 	return gossip->counted;
 }
 
+/*
+ * A node that started behind a partition sees only a part of the others, or
+ * none, and would take their shares too. Seeds are on either side of most
+ * partitions, so a share is held only after each of them was met.
+ */
+static bool has_met_seeds(const struct gossip *gossip, int64_t now)
+{
+	if (now - gossip->started_at > FORGET_TIMEOUT_US)
+		return true;
+	for (size_t i = 0; i < gossip->nseeds; i++)
+		if (gossip->seeds[i] != gossip->self.ip &&
+		    !apr_hash_get(gossip->members, &gossip->seeds[i],
+				  sizeof(gossip->seeds[i])))
+			return false;
+	return true;
+}
+
+double gossip_equal_share(const struct gossip *gossip, int64_t now)
+{
+	return has_met_seeds(gossip, now) ? 1.0 / gossip->holders : 0;
+}
+
 /*
  * Counts nodes that went down recently as well, see COUNTED_TIMEOUT_US, and
  * removes those that have been down for FORGET_TIMEOUT_US.
@@ -187,6 +219,7 @@
 {
 	apr_hash_index_t *it;
 	int counted = 1;
+	int holders = 1;
 
 	gossip->near_live = 1;
 	gossip->near_counted = 1;
@@ -198,6 +231,7 @@
 			counted++;
 			gossip->near_counted += member->near;
 		}
+		holders += gossip_holds_share(member, now);
 		if (gossip_is_live(member, now) && member->near)
 			gossip->near_live++;
 		if (now - member->last_beat_at > FORGET_TIMEOUT_US &&
@@ -208,6 +242,7 @@
 		}
 	}
 	gossip->counted = counted;
+	gossip->holders = holders;
 }
 
 /* Sending. */
--- a/gossip.h
+++ b/gossip.h
@@ -50,8 +50,9 @@
  * @started_at: start of the process
  * @sent_at, @next_at: time of the last round and of the next one
  * @near_live: live nodes of this failure domain, including this one
- * @counted: nodes that may hold a share of the shared limits
+ * @counted: nodes that may hold connections to targets
  * @near_counted: those of them in this failure domain
+ * @holders: nodes that may hold a share of the extra retries
  * @digest: digest of other replicated state, sent with each round
  */
 struct gossip {
@@ -69,6 +70,7 @@
 	int near_live;
 	int counted;
 	int near_counted;
+	int holders;
 	uint64_t digest;
 };
 
@@ -96,8 +98,16 @@
  */
 int64_t gossip_excess_delay(struct gossip *gossip, struct str addr,
 			    uint64_t incarnation, int64_t sent_us, int64_t now);
-/** gossip_is_counted() - whether a node may hold a share of shared limits. */
+/** gossip_is_counted() - whether a node may hold connections to targets. */
 bool gossip_is_counted(const struct member_info *member, int64_t now);
+/** gossip_holds_share() - whether a node may hold a share of extra retries. */
+bool gossip_holds_share(const struct member_info *member, int64_t now);
+/**
+ * gossip_equal_share() - share of the extra retries if all nodes have the same.
+ *
+ * Return: 0 while this node may know a part of the nodes only, else up to 1.
+ */
+double gossip_equal_share(const struct gossip *gossip, int64_t now);
 /** gossip_counted_nodes() - number of such nodes, including this one. */
 int gossip_counted_nodes(const struct gossip *gossip);
 /**
--- a/placement.c
+++ b/placement.c
@@ -23,9 +23,9 @@
 
 /*
  * Fraction of the extra retries for merging nodes, which send nearly all
- * requests to targets; the rest is for nodes that cannot reach any of them.
- * Divided equally among all nodes, most retries would stay unused while the
- * merging nodes have none.
+ * requests to targets; the rest is divided equally among all nodes, for those
+ * that cannot reach any of them. If all were divided equally, most retries
+ * would stay unused while the merging nodes have none.
  */
 static const double MERGERS_RETRY_SHARE = 0.8;
 
@@ -157,7 +157,7 @@
 			 bool include_inactive, int64_t now)
 {
 	if (include_inactive)
-		return gossip_is_counted(member, now);
+		return gossip_holds_share(member, now);
 	return (member->entry.state & MEMBER_SERVING) &&
 	       gossip_is_live(member, now);
 }
@@ -376,14 +376,17 @@
 {
 	const struct placement_plan *plan =
 		get_plan(placement, catalog, route, now);
-	size_t nodes = (size_t)gossip_counted_nodes(placement->gossip);
+	double equal = gossip_equal_share(placement->gossip, now);
+	double share;
 
-	if (!plan->mergers || plan->mergers >= nodes ||
+	if (!plan->mergers || equal * (double)plan->mergers >= 1 ||
 	    !mechanism_enabled(placement->without, MECHANISM_MERGER_BUDGET))
-		return 1.0 / (double)nodes;
-	if (plan->self)
-		return MERGERS_RETRY_SHARE / (double)plan->mergers;
-	return (1 - MERGERS_RETRY_SHARE) / (double)(nodes - plan->mergers);
+		return equal;
+	share = (1 - MERGERS_RETRY_SHARE) * equal;
+	/* A node that does not know the others yet does not know its part. */
+	if (plan->self && equal > 0)
+		share += MERGERS_RETRY_SHARE / (double)plan->mergers;
+	return share;
 }
 
 /* The less loaded of two random nodes, preferably in this failure domain. */
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -96,40 +96,80 @@
 /* Budgets: ratio and free sends, shared by nodes, over a sliding window. */
 
 struct budget_case {
-	int nodes;
+	double share;
 	int first;
 	int64_t later_us;
-	double share; /* 0: 1 / nodes */
-	int max; /* 0.8 x (0.2 x first + 50 x share) */
+	int max; /* 0.8 x 0.2 x first + 0.5 x 50 x share */
 };
 
 static const struct budget_case budget_cases[] = {
-	{ 1, 0, 0, 0, 40 },
-	{ 5, 0, 0, 0, 8 },
-	{ 5, 100, 0, 0, 24 },
-	{ 5, 100, 5 * SECOND_US, 0, 24 },
-	{ 5, 100, 12 * SECOND_US, 0, 8 },
-	{ 100, 0, 0, 0, 0 },
-	{ 100, 0, 0, 0.1, 4 },
-	{ 100, 100, 0, 0.1, 20 },
+	{ 1, 0, 0, 25 },     { 0.2, 0, 0, 5 },
+	{ 0.2, 100, 0, 21 }, { 0.2, 100, 5 * SECOND_US, 21 },
+	{ 0.01, 0, 0, 0 },   { 0.2, 100, 12 * SECOND_US, 5 },
+	{ 0.12, 0, 0, 3 },   { 0.12, 100, 0, 19 },
+	{ 0, 100, 0, 16 },
 };
 
+static int take_all(struct budget *budget, double share, int64_t now)
+{
+	int taken = 0;
+
+	while (taken < 1000 && budget_take_retry(budget, 7, share, now))
+		taken++;
+	return taken;
+}
+
 START_TEST(test_budget)
 {
 	const struct budget_case *c = &budget_cases[_i];
 	struct budget_rules rules = { 0.2, 50, 10 * SECOND_US };
-	struct budget *budget = budget_create(pool, rules);
-	int taken = 0;
+	struct budget *budget = budget_create(pool, rules, 0);
+	int64_t now = 20 * SECOND_US;
 
-	budget_set_nodes(budget, c->nodes);
 	for (int i = 0; i < c->first; i++)
-		budget_count_first_attempt(budget, 7, SECOND_US);
-	while (taken < 1000 &&
-	       budget_take_retry(budget, 7, c->share, SECOND_US + c->later_us))
-		taken++;
-	ck_assert_int_eq(taken, c->max);
-	ck_assert_int_eq(budget_retries_left(budget, 8, 0, SECOND_US),
-			 (int)(0.8 * 50 / c->nodes));
+		budget_count_first_attempt(budget, 7, c->share, now);
+	ck_assert_int_eq(take_all(budget, c->share, now + c->later_us), c->max);
+	ck_assert_int_eq(budget_retries_left(budget, 8, c->share, now),
+			 (int)(0.5 * 50 * c->share));
+	budget_destroy(budget);
+}
+END_TEST
+
+/** struct share_case - a share that changes, and retries after that */
+struct share_case {
+	int64_t held_since;
+	double before;
+	int64_t changes_at;
+	double share;
+	int64_t at;
+	int max;
+};
+
+static const struct share_case share_cases[] = {
+	/* A process that has just started, after 5 s, after a window. */
+	{ 0, 1, SECOND_US, 1, SECOND_US / 2, 0 },
+	{ 0, 1, SECOND_US, 1, 5500000, 10 },
+	{ 0, 1, SECOND_US, 1, 11 * SECOND_US, 25 },
+	/* A share that grows, right after and 5 s after that. */
+	{ 0, 0.12, 20 * SECOND_US, 1, 20 * SECOND_US, 3 },
+	{ 0, 0, 20 * SECOND_US, 1, 25 * SECOND_US, 10 },
+	/* A share that is taken away. */
+	{ 0, 1, 20 * SECOND_US, 0, 25 * SECOND_US, 12 },
+	{ 0, 1, 20 * SECOND_US, 0, 31 * SECOND_US, 0 },
+};
+
+/* A share is used twice in one window, by who had it and by who has it now. */
+START_TEST(test_share_accrues_over_a_window)
+{
+	const struct share_case *c = &share_cases[_i];
+	struct budget_rules rules = { 0.2, 50, 10 * SECOND_US };
+	struct budget *budget = budget_create(pool, rules, c->held_since);
+
+	for (int64_t at = 0; at < c->at; at += SECOND_US / 2)
+		budget_retries_left(budget, 7,
+				    at < c->changes_at ? c->before : c->share,
+				    at);
+	ck_assert_int_eq(take_all(budget, c->share, c->at), c->max);
 	budget_destroy(budget);
 }
 END_TEST
@@ -546,7 +586,7 @@
 	calls.balancer = balancer_create(pool, STR("here"), 0);
 	poison_init(&poison, pool, (struct poison_targets){ 0 });
 	calls.budget = budget_create(
-		pool, (struct budget_rules){ 1, 100, 10 * SECOND_US });
+		pool, (struct budget_rules){ 1, 100, 10 * SECOND_US }, 0);
 	call = call_create(&calls, 1, &request, catalog_create(), &route);
 	call->kind = &kind;
 	call->parts = &part;
@@ -857,6 +897,8 @@
 	tcase_add_checked_fixture(tcase, create_pool, destroy_pool);
 	tcase_add_loop_test(tcase, test_records, 0, COUNT(merge_cases));
 	tcase_add_loop_test(tcase, test_budget, 0, COUNT(budget_cases));
+	tcase_add_loop_test(tcase, test_share_accrues_over_a_window, 0,
+			    COUNT(share_cases));
 	tcase_add_loop_test(tcase, test_routes, 0, COUNT(route_cases));
 	tcase_add_test(tcase, test_configuration);
 	tcase_add_loop_test(tcase, test_choose, 0, COUNT(choose_cases));
--- a/tests/fuzz_tier.c
+++ b/tests/fuzz_tier.c
@@ -217,6 +217,7 @@
 static const char *find_violation(struct scenario *scenario)
 {
 	struct sim *sim = scenario->sim;
+	struct sim_window window = sim_budget_worst(sim);
 	int over_limit = 0;
 
 	for (int i = 0; i < sim->ncalls; i++) {
@@ -236,7 +237,7 @@
 			return "a poison request reached targets too often";
 	if (over_limit > 3)
 		return "shards were sent to more targets than the route allows";
-	if (sim->extra_sends > sim->first_sends / 5 + 2 * SIM_SHARDS * 60 * 2)
+	if (window.repeats > window.allowed)
 		return "retries exceeded the shared budget";
 	return NULL;
 }
--- a/tier.c
+++ b/tier.c
@@ -79,6 +79,13 @@
 				      settings->retry_window_us };
 }
 
+/* The processes of new VMs replace none that have used their shares. */
+static int64_t share_held_since(const struct vm_settings *settings, int64_t now)
+{
+	return settings->first_start ? now - 2 * settings->retry_window_us
+				     : now;
+}
+
 /* Evidence against requests. */
 
 static void send_evidence(void *ctx, struct str addr, const struct msg *msg)
@@ -151,7 +158,8 @@
 	calls_init(&tier->calls, tier->pool, options->seed);
 	tier->calls.balancer = tier->balancer;
 	tier->calls.budget =
-		budget_create(tier->pool, budget_rules_of(&tier->settings));
+		budget_create(tier->pool, budget_rules_of(&tier->settings),
+			      share_held_since(&tier->settings, now));
 	tier->calls.without = options->without;
 	tier->calls.fx = fx;
 	tier->calls.decision_log = &tier->decision_log;
@@ -440,7 +448,6 @@
 	directory_set_nodes(&tier->dir, nodes, near_nodes);
 	tier->placement.discovery_done = discovery_done;
 	placement_invalidate(&tier->placement);
-	budget_set_nodes(tier->calls.budget, nodes);
 }
 
 /* Removes old entries: the tables must not grow with every target ever seen. */
