A node that starts asks what is blocked before it serves

What callers saw: while nodes restarted, one after the other and also planned, a request that was blocked ended targets again, and with them the answers of all who asked the same shards.

Cause: evidence against a request lives in processes alone, and a node took requests as soon as it had a configuration. Others told it by digests: one answer in half a second for all that asked, evidence of the last 3 s left out, and a node that only knew seeds which had restarted as well was told by nobody until a round happened to reach it.

Change: a starting node asks for all evidence with its first gossip; each that hears it sends all, at once, and says whether it knew it itself. Until such an answer the node is not ready, 100 ms at most: after a power loss nobody knows anything. Nodes whose connection broke are contacted each 50 ms for 5 s by three others, so a node that knows only fresh seeds is found. A line of the log and a gauge (share_holders) show both mends at work.

Conclusion: mended but for the loss of all processes, which no process outlives.

--- a/gossip.c
+++ b/gossip.c
@@ -41,6 +41,15 @@
 	DOWN_TIMEOUT_US = 3500000,
 	/* Other failure domains send gossip less often. */
 	FAR_DOWN_TIMEOUT_US = 8000000,
+	/*
+	 * A node that starts knows only the seeds. If these are down as well,
+	 * nobody tells it what the others know, until their next rounds happen
+	 * to reach it. So nodes whose connection broke are contacted until they
+	 * are back, by a few others each.
+	 */
+	LOST_CONTACT_US = 50000,
+	LOST_CONTACT_WINDOW_US = 5000000,
+	LOST_CONTACTS = 3,
 	/* A node that is down keeps its part of the targets' connections. */
 	COUNTED_TIMEOUT_US = 15000000,
 	/*
@@ -94,6 +103,7 @@
 				   .rng = rng,
 				   .port = settings->peer_port,
 				   .next_at = now,
+				   .contact_at = INT64_MAX,
 				   .started_at = now,
 				   .near_live = 1,
 				   .counted = 1,
@@ -276,6 +286,7 @@
 	fx->addr = str_dup(gossip->fx->pool, addr);
 	fx->msg.kind = MSG_GOSSIP;
 	fx->msg.hash = gossip->digest;
+	fx->msg.state = gossip->wants_state;
 	fx->msg.body = str_dup(gossip->fx->pool, body);
 }
 
@@ -398,6 +409,83 @@
 	return any;
 }
 
+/* Return: live nodes that outweigh this one for @key, up to @max. */
+static int count_outweighing(const struct gossip *gossip, uint64_t key, int max,
+			     int64_t now)
+{
+	uint64_t weight = rendezvous_weight(gossip->self.ip, key);
+	apr_hash_index_t *it;
+	int count = 0;
+
+	for (it = apr_hash_first(NULL, gossip->members); it && count < max;
+	     it = apr_hash_next(it)) {
+		const struct member_info *member = hash_value(it);
+
+		count += gossip_is_live(member, now) && !member->lost_at &&
+			 rendezvous_weight(member->entry.ip, key) > weight;
+	}
+	return count;
+}
+
+static bool is_awaited(const struct member_info *member, int64_t now)
+{
+	return member->lost_at &&
+	       now - member->lost_at < LOST_CONTACT_WINDOW_US;
+}
+
+void gossip_on_lost(struct gossip *gossip, struct str addr, int64_t now)
+{
+	struct member_info *member = gossip_find(gossip, addr);
+
+	if (!member || member->lost_at)
+		return;
+	member->lost_at = now;
+	if (gossip->contact_at > now + LOST_CONTACT_US)
+		gossip->contact_at = now + LOST_CONTACT_US;
+}
+
+/* Return: nodes that are awaited; the caller frees the list. */
+static struct member_info **collect_awaited(const struct gossip *gossip,
+					    int64_t now, size_t *count)
+{
+	struct member_info **list =
+		xcalloc(apr_hash_count(gossip->members) + 1, sizeof(*list));
+	apr_hash_index_t *it;
+
+	*count = 0;
+	for (it = apr_hash_first(NULL, gossip->members); it;
+	     it = apr_hash_next(it)) {
+		struct member_info *member = hash_value(it);
+
+		if (is_awaited(member, now))
+			list[(*count)++] = member;
+	}
+	return list;
+}
+
+static void contact_lost(struct gossip *gossip, int64_t now)
+{
+	struct buf own = { 0 };
+	struct member_info **list;
+	size_t count;
+
+	list = collect_awaited(gossip, now, &count);
+	gossip->contact_at = count ? now + LOST_CONTACT_US : INT64_MAX;
+	encode_members(gossip, false, now, &own);
+	for (size_t i = 0; i < count; i++)
+		if (count_outweighing(gossip, list[i]->entry.ip, LOST_CONTACTS,
+				      now) < LOST_CONTACTS)
+			send_gossip(gossip, list[i]->addr, buf_str(&own));
+	free(list);
+	buf_free(&own);
+}
+
+int64_t gossip_wake_at(const struct gossip *gossip)
+{
+	return gossip->contact_at < gossip->next_at ? gossip->contact_at
+						    : gossip->next_at;
+}
+
 /*
  * Decides at random whether this node sends to another failure domain in this
  * round, so that FAR_FANOUT_PER_DOMAIN nodes of its domain do on average.
@@ -415,6 +503,8 @@
 	struct buf own = { 0 };
 	size_t count;
 
+	if (now >= gossip->contact_at)
+		contact_lost(gossip, now);
 	if (now < gossip->next_at)
 		return;
 	gossip->next_at = now + GOSSIP_PERIOD_US;
@@ -507,6 +597,7 @@
 	member->entry = *entry;
 	member->near = entry->domain == gossip->self.domain;
 	member->last_beat_at = now;
+	member->lost_at = 0;
 }
 
 /* A new node gets the list of all members at once. */
--- a/gossip.h
+++ b/gossip.h
@@ -24,6 +24,7 @@
  * @addr: "ip:port" for connections between nodes
  * @near: in this node's failure domain
  * @last_beat_at: when a higher beat was last received
+ * @lost_at: when its connection broke, 0 after a higher beat
  * @unanswered_since: when the first batch since the last message from the node
  *                    was sent to it, 0 for none
  * @clock_incarnation: incarnation that @min_clock_offset belongs to
@@ -37,6 +38,7 @@
 	struct str addr;
 	bool near;
 	int64_t last_beat_at;
+	int64_t lost_at;
 	int64_t unanswered_since;
 	uint64_t clock_incarnation;
 	int64_t min_clock_offset;
@@ -49,11 +51,13 @@
  * @self: entry of this node
  * @started_at: start of the process
  * @sent_at, @next_at: time of the last round and of the next one
+ * @contact_at: next time at which nodes that were lost are contacted
  * @near_live: live nodes of this failure domain, including this one
  * @counted: nodes that may hold connections to targets
  * @near_counted: those of them in this failure domain
  * @holders: nodes that may hold a share of the extra retries
  * @digest: digest of other replicated state, sent with each round
+ * @wants_state: other nodes are asked to send all of that state
  */
 struct gossip {
 	apr_pool_t *pool;
@@ -67,11 +71,13 @@
 	int64_t started_at;
 	int64_t sent_at;
 	int64_t next_at;
+	int64_t contact_at;
 	int near_live;
 	int counted;
 	int near_counted;
 	int holders;
 	uint64_t digest;
+	bool wants_state;
 };
 
 /** gossip_init() - start with no members but this node and the seeds. */
@@ -84,6 +90,10 @@
 		      const struct vm_settings *settings);
 /** gossip_tick() - run a gossip round if it is due. */
 void gossip_tick(struct gossip *gossip, int64_t now);
+/** gossip_wake_at() - when gossip_tick() has to run next. */
+int64_t gossip_wake_at(const struct gossip *gossip);
+/** gossip_on_lost() - the connection to the node at @addr broke. */
+void gossip_on_lost(struct gossip *gossip, struct str addr, int64_t now);
 /** gossip_announce() - send this node's state to all live nodes at once. */
 void gossip_announce(struct gossip *gossip, int64_t now);
 /** gossip_on_msg() - merge the members in the gossip message @body. */
--- a/msg.h
+++ b/msg.h
@@ -37,7 +37,8 @@
  * delegating node sends ASK_GO to permit requests to further targets.
  *
  * SUSPECTS carries evidence against requests in @body and its digest in @hash;
- * @state requests a reply, and @ran that the receiver relay it. TRY requests
+ * @state has flags, among them a request of a reply, and @ran asks the receiver
+ * to relay it. GOSSIP requests all evidence by @state. TRY requests
  * the lease for a trial of the suspect request with the fingerprint @hash,
  * @hash2, @key; TRY_REPLY grants it if @state is set.
  */
--- a/poison_sync.h
+++ b/poison_sync.h
@@ -27,14 +27,29 @@
 /**
  * struct poison_sync - state of the synchronization
  * @full_sync_at: earliest time of the next full synchronization
+ * @started_at: start of the process
+ * @informed: another node that knew all evidence has sent it since the start,
+ *            or there was none
  */
 struct poison_sync {
 	struct poison *poison;
 	struct poison_transport transport;
 	apr_pool_t *pool;
 	int64_t full_sync_at;
+	int64_t started_at;
+	bool informed;
 };
 
+/** poison_sync_asks() - whether other nodes are to send all their evidence. */
+bool poison_sync_asks(const struct poison_sync *sync, int64_t now);
+/**
+ * poison_sync_serves_at() - from when on requests may be sent to targets, so
+ * that requests which others have blocked are not sent.
+ */
+int64_t poison_sync_serves_at(const struct poison_sync *sync);
+/** poison_sync_on_start() - send all evidence to @addr, which has started. */
+void poison_sync_on_start(struct poison_sync *sync, struct str addr,
+			  int64_t now);
 /** poison_sync_send() - send pending entries to other nodes. */
 void poison_sync_send(struct poison_sync *sync, int64_t now);
 /** poison_sync_on_digest() - send all evidence if @digest of @from differs. */
--- a/tier.c
+++ b/tier.c
@@ -181,6 +181,8 @@
 		.poison = &tier->poison,
 		.transport = { broadcast_evidence, send_evidence, tier },
 		.pool = tier->pool,
+		.started_at = now,
+		.informed = tier->settings.first_start,
 	};
 	tier->calls.poison = &tier->poison;
 	tier->calls.poison_sync = &tier->poison_sync;
@@ -220,6 +222,13 @@
 	buf_free(&body);
 }
 
+/* Return: true if requests may be sent to targets. */
+static bool may_serve(const struct tier *tier, int64_t now)
+{
+	return tier->dir.catalog &&
+	       now >= poison_sync_serves_at(&tier->poison_sync);
+}
+
 static int64_t starting_retry_us(struct tier *tier)
 {
 	bool store_down = tier->reader.failures > 0;
@@ -262,9 +271,11 @@
 	const struct route *route;
 	struct call *call;
 
-	if (!tier->dir.catalog) {
+	if (!may_serve(tier, event->now)) {
 		refuse_early(tier, event->id, 503, ERR_STARTING,
-			     "no configuration yet", starting_retry_us(tier));
+			     tier->dir.catalog ? "this node has just started"
+					       : "no configuration yet",
+			     starting_retry_us(tier));
 		return;
 	}
 	if (is_stale(event)) {
@@ -373,6 +384,18 @@
 	       now - balancer_store_lost_at(tier->balancer) > STORE_RECOVERY_US;
 }
 
+static void on_suspects(struct tier *tier, const struct flow_event *event)
+{
+	bool was_informed = tier->poison_sync.informed;
+
+	poison_sync_on_msg(&tier->poison_sync, event->from, event->msg,
+			   store_is_fresh(tier, event->now), event->now);
+	if (!was_informed && tier->poison_sync.informed)
+		decision_log_state(&tier->decision_log, event->now, "evidence",
+				   event->from, "all of it after the start",
+				   tier->poison.count);
+}
+
 static void on_msg(struct tier *tier, const struct flow_event *event)
 {
 	const struct msg *msg = event->msg;
@@ -389,13 +412,15 @@
 	case MSG_GOSSIP:
 		gossip_on_msg(&tier->gossip, event->from, msg->body,
 			      event->now);
-		poison_sync_on_digest(&tier->poison_sync, event->from,
-				      msg->hash, event->now);
+		if (msg->state)
+			poison_sync_on_start(&tier->poison_sync, event->from,
+					     event->now);
+		else
+			poison_sync_on_digest(&tier->poison_sync, event->from,
+					      msg->hash, event->now);
 		break;
 	case MSG_SUSPECTS:
-		poison_sync_on_msg(&tier->poison_sync, event->from, msg,
-				   store_is_fresh(tier, event->now),
-				   event->now);
+		on_suspects(tier, event);
 		break;
 	case MSG_TRY:
 		trial_on_request(&tier->calls, event->from, event->incarnation,
@@ -505,6 +530,7 @@
 		break;
 	case FLOW_PEER_LOST:
 		batch_on_lost(&tier->calls, event->from);
+		gossip_on_lost(&tier->gossip, event->from, event->now);
 		break;
 	case FLOW_SETTINGS:
 		on_settings(tier, event->settings);
@@ -518,10 +544,12 @@
 	relay_tick(&tier->relay, event->now);
 	if (event->now >= tier->gossip.next_at)
 		tier->gossip.digest = poison_digest(&tier->poison, event->now);
+	tier->gossip.wants_state =
+		poison_sync_asks(&tier->poison_sync, event->now);
 	gossip_tick(&tier->gossip, event->now);
 	update_node_count(tier);
 	reader_tick(&tier->reader, event->now);
-	if (!tier->exit_at && tier->dir.catalog)
+	if (!tier->exit_at && may_serve(tier, event->now))
 		set_ready(tier, true);
 	exit_when_drained(tier);
 }
@@ -540,8 +568,11 @@
 
 	if (read_at < when)
 		when = read_at;
-	if (tier->gossip.next_at < when)
-		when = tier->gossip.next_at;
+	if (!tier->ready && !tier->exit_at && tier->dir.catalog &&
+	    poison_sync_serves_at(&tier->poison_sync) < when)
+		when = poison_sync_serves_at(&tier->poison_sync);
+	if (gossip_wake_at(&tier->gossip) < when)
+		when = gossip_wake_at(&tier->gossip);
 	if (!tier->reader.active && relay_at < when)
 		when = relay_at;
 	if (tier->exit_at && !tier->exit_sent && !tier->calls.nopen &&
@@ -565,6 +596,9 @@
 		     balancer_count(tier->balancer));
 	metric_gauge(out, "nodes", "nodes that share bounds with this one",
 		     (uint64_t)dir->nodes);
+	metric_gauge(out, "share_holders",
+		     "nodes that may hold a share of the extra retries",
+		     (uint64_t)tier->gossip.holders);
 	metric_gauge(out, "configuration_version", "in force",
 		     dir->catalog ? dir->catalog->version : 0);
 	metric_gauge(out, "configuration_revision",
