serve: a node that starts is told what is blocked before it serves

Change: a node that reports itself as starting is sent all evidence with each of its heartbeats. It takes no questions for 0.6 s anyway, while it asks for documents, so it need not wait longer.

Ruled out here: the budget of hedges and retries. A process starts with 32 of them, an eighth of what it may save; it is a part of each node's own, no bound over nodes is promised.

Conclusion: mended.

--- a/front_poison.c
+++ b/front_poison.c
@@ -57,6 +57,7 @@
 		.poison = &front->poison,
 		.transport = { send_to_nodes, send_to_node, node },
 		.pool = front->pool,
+		.started_at = node->now,
 	};
 }
 
@@ -77,6 +78,13 @@
 				      node->now);
 }
 
+void front_poison_on_start(struct node *node, struct str from)
+{
+	if (node->front)
+		poison_sync_on_start(&node->front->poison_sync, from,
+				     node->now);
+}
+
 void front_poison_sweep(struct node *node)
 {
 	if (node->front)
--- a/front_poison.h
+++ b/front_poison.h
@@ -42,6 +42,11 @@
 /** front_poison_on_digest() - compare the evidence with that of @from. */
 void front_poison_on_digest(struct node *node, struct str from,
 			    uint64_t digest);
+/**
+ * front_poison_on_start() - send all evidence to the node at @from, which takes
+ * no questions yet.
+ */
+void front_poison_on_start(struct node *node, struct str from);
 /** front_poison_sweep() - drop refuted and expired evidence. */
 void front_poison_sweep(struct node *node);
 void front_poison_on_msg(struct node *node, struct str from,
--- a/member.c
+++ b/member.c
@@ -379,7 +379,10 @@
 	}
 	doc_sync_on_offer(node, vm, DOC_LISTS, msg->version, msg->hash);
 	doc_sync_on_offer(node, vm, DOC_FLEET, msg->version2, msg->hash2);
-	front_poison_on_digest(node, from, msg->key);
+	if (vm->state == VM_STARTING)
+		front_poison_on_start(node, from);
+	else
+		front_poison_on_digest(node, from, msg->key);
 	/*
 	 * After a pause the socket still holds heartbeats from before it; only
 	 * the reply to a probe sent after it confirms the view.
