--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -12,6 +12,7 @@
 
 import budget
 import fakes
+from faults import Faults
 
 TOP_K, MIN_SHARE, GOAL_MS, TIMEOUT_MS = 5, 0.75, 150, 1500
 MAX_ATTEMPTS = 2
@@ -52,19 +53,6 @@
 }
 
 
-# Faults by name, and bounds of the pause between the starts of two of them.
-PROFILES = {
-    "mixed": (("pause_target", "pause_target", "shed_requests",
-               "drop_replies", "duplicate_replies", "delay_link",
-               "stall_link", "stall_replies", "reset_links", "drain_target",
-               "fail_store", "stall_store", "reconfigure", "kill_node",
-               "stop_node", "pause_node", "reload_node"), (0.05, 0.5)),
-    "restarts": (("kill_each", "stop_each", "kill_all", "kill_node",
-                  "pause_node", "pause_node", "drop_many_replies",
-                  "drop_many_replies", "reset_links"), (0.3, 3.0)),
-}
-
-
 class Request(NamedTuple):
     """A caller's request. Its services are those of the configuration."""
     at: float
@@ -76,7 +64,7 @@
     in_touch: bool
 
 
-class Fleet:
+class Fleet(Faults):
     """Nodes, fakes, callers and recorded results of one seed."""
 
     def __init__(self, program, seed, args):
@@ -183,180 +171,6 @@
         if proc and proc.poll() is None:
             proc.send_signal(number)
 
-    # Faults. Each one ends by itself after a while; several may overlap.
-
-    def random_target(self):
-        return self.rng.choice(self.targets)
-
-    async def pause_target(self):
-        self.random_target().paused_until = time.monotonic() + 0.3
-
-    async def shed_requests(self):
-        target = self.random_target()
-        target.shed_share = 0.7
-        await asyncio.sleep(1)
-        target.shed_share = 0
-
-    async def drop_replies(self):
-        target = self.random_target()
-        target.drop_share = 0.5
-        await asyncio.sleep(1)
-        target.drop_share = 0
-
-    async def duplicate_replies(self):
-        target = self.random_target()
-        target.duplicate_share = 0.5
-        await asyncio.sleep(1)
-        target.duplicate_share = 0
-
-    async def degrade_link(self, field, value):
-        target = self.random_target()
-        proxy = self.proxies[target.id]
-        start = time.monotonic()
-        setattr(proxy, field, value)
-        await asyncio.sleep(0.8)
-        setattr(proxy, field, type(value)())
-        target.link_faults.append((start, time.monotonic()))
-
-    async def delay_link(self):
-        await self.degrade_link("delay", 0.05)
-
-    async def stall_link(self):
-        await self.degrade_link("stalled", True)
-
-    async def stall_replies(self):
-        await self.degrade_link("replies_stalled", True)
-
-    async def reset_links(self):
-        for proxy in self.rng.sample(list(self.proxies.values()), 5):
-            proxy.reset()
-
-    async def drain_target(self):
-        target = self.random_target()
-        if (target.draining_since or self.store.down
-                or self.store_proxy.stalled):
-            return
-        await self.add_target(target.service, target.zone)
-        target.draining_since = time.monotonic()
-        self.publish(target)
-
-    def crash_target(self, target):
-        """Abort all connections of the target and restart it later."""
-        proxy = self.proxies[target.id]
-        target.ended.append(time.monotonic())
-        proxy.refuses = True
-        proxy.reset()
-        asyncio.create_task(self.restart_target(target, proxy))
-
-    async def restart_target(self, target, proxy):
-        await asyncio.sleep(self.rng.uniform(0.6, 1.2))
-        proxy.refuses = False
-        target.born += 1
-        target.cold_left_ms = self.shape.cold_ms
-        self.publish(target)
-
-    async def fail_store(self):
-        self.store.down = self.rng.choice((True, "stalled"))
-        await asyncio.sleep(1.5)
-        self.store.down = False
-        self.store_fault_at = time.monotonic()
-
-    async def stall_store(self):
-        self.store_proxy.stalled = True
-        await asyncio.sleep(1.0)
-        self.store_proxy.stalled = False
-        self.store_proxy.reset()
-        self.store_fault_at = time.monotonic()
-
-    async def reconfigure(self):
-        if self.shard_prefix == "s" and self.rng.random() < 0.4:
-            await self.add_shards("r")
-            await asyncio.sleep(0.5)
-            self.shard_prefix = "r"
-        self.version += 1
-        self.configure()
-
-    async def kill_node(self):
-        node = self.rng.randrange(self.args.nodes)
-        self.signal_node(node, signal.SIGKILL)
-        await asyncio.sleep(0.5)
-        self.restart_node(node)
-
-    async def stop_node(self):
-        node = self.rng.randrange(self.args.nodes)
-        proc = self.procs[node]
-        self.signal_node(node, signal.SIGTERM)
-        if self.rng.random() < 0.3:
-            self.signal_node(node, signal.SIGTERM)
-        for _ in range(50):
-            await asyncio.sleep(0.1)
-            if proc.poll() is not None:
-                break
-        else:
-            self.report(f"node{node} has not ended 5 s after SIGTERM")
-            proc.kill()
-            await asyncio.sleep(0.2)
-        self.restart_node(node)
-
-    async def pause_node(self):
-        node = self.rng.randrange(self.args.nodes)
-        self.signal_node(node, signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(0.1, 1.5))
-        self.signal_node(node, signal.SIGCONT)
-
-    async def reload_node(self):
-        self.signal_node(self.rng.randrange(self.args.nodes), signal.SIGHUP)
-
-    def restart_node(self, node):
-        proc = self.procs[node]
-        if not self.stopping and proc.poll() is not None:
-            self.start_node(node)
-
-    async def restart_each(self, stop):
-        """All nodes one after the other."""
-        gap = self.rng.uniform(0.2, 1.5)
-        for node in self.rng.sample(range(self.args.nodes), self.args.nodes):
-            self.signal_node(node, stop)
-            self.start_task(self.restart_when_ended(node))
-            await asyncio.sleep(gap)
-
-    async def kill_each(self):
-        await self.restart_each(signal.SIGKILL)
-
-    async def stop_each(self):
-        await self.restart_each(signal.SIGTERM)
-
-    async def kill_all(self):
-        for node in range(self.args.nodes):
-            self.signal_node(node, signal.SIGKILL)
-            self.start_task(self.restart_when_ended(node))
-
-    async def restart_when_ended(self, node):
-        proc = self.procs[node]
-        while proc.poll() is None:
-            await asyncio.sleep(0.05)
-        await asyncio.sleep(self.rng.uniform(0.1, 0.6))
-        self.restart_node(node)
-
-    async def drop_many_replies(self):
-        """Half of the targets lose a part of their replies."""
-        share = self.rng.uniform(0.1, 0.6)
-        chosen = self.rng.sample(self.targets, len(self.targets) // 2)
-        for target in chosen:
-            target.drop_share = share
-        await asyncio.sleep(self.rng.uniform(3, 8))
-        for target in chosen:
-            target.drop_share = 0.0
-
-    async def lose_replies(self, until):
-        """All targets lose a part of their replies, so most need a retry."""
-        while time.monotonic() < until:
-            for target in self.targets:
-                target.drop_share = self.args.lost_share
-            await asyncio.sleep(0.5)
-        for target in self.targets:
-            target.drop_share = 0.0
-
     # Callers.
 
     def report(self, text):
@@ -538,9 +352,13 @@
             self.report(text)
 
     def budget_summary(self):
-        worst = budget.worst_window(self.execution_log.arrivals,
-                                    self.requests)
-        return str(worst) if worst else "no repeats"
+        arrivals = self.execution_log.arrivals
+        worst = budget.worst_window(arrivals, self.requests)
+        targets = {target.id: target for target in self.targets}
+        wide = budget.wide_requests(arrivals, self.requests, targets)
+        too_long, _ = budget.long_deadlines(arrivals, self.requests, targets)
+        return (f"{worst or 'no repeats'}; {len(wide)} at too many targets, "
+                f"{too_long} given too much time")
 
     # Running.
 
@@ -563,20 +381,6 @@
             await asyncio.sleep(0.1)
         self.report("not all nodes were ready within 10 s")
 
-    async def inject_faults(self, until):
-        names, gap = PROFILES.get(self.args.faults,
-                                  (self.args.faults.split(","), (0.5, 2.0)))
-        if self.args.lost_share:
-            self.start_task(self.lose_replies(until))
-        await self.inject(until, [getattr(self, name) for name in names], gap)
-
-    async def inject(self, until, faults, gap):
-        tasks = []
-        while time.monotonic() < until:
-            tasks.append(asyncio.create_task(self.rng.choice(faults)()))
-            await asyncio.sleep(self.rng.uniform(*gap))
-        await asyncio.gather(*tasks)
-
     async def check_recovery(self):
         start = time.monotonic()
         await asyncio.sleep(2.0)
--- a/tests/run.py
+++ b/tests/run.py
@@ -27,6 +27,10 @@
 TIER_SEEDS = "200"
 DEADLY_SEEDS = "60"
 REGRESSION_SEEDS = ("10098",)  # removed entries came back from a peer
+# Nodes restart in turn within a window while most requests need a retry.
+RESTARTS_SOAK = ("--faults", "kill_each", "--lost-share", "0.6",
+                 "--poison-gap", "0", "--seconds", "14",
+                 "--net", "51", "--port", "19600")
 SOAK_SEEDS, SOAK_SECONDS = ("1", "1"), "5"  # longer runs: soak/soak.py
 SAFEGUARDS = {  # safeguard to turn off: fault that fuzzing must then report
     "no_ramp": "a cold target was overloaded",
@@ -119,6 +123,9 @@
         "soak", sys.executable, "soak/soak.py", f"{BUILD}/wasabimoor",
         *SOAK_SEEDS, "--seconds", SOAK_SECONDS,
         "--net", "50", "--port", "19500")
+    yield "soak restarts", lambda: run_program(
+        "soak restarts", sys.executable, "soak/soak.py",
+        f"{BUILD}/wasabimoor", *SOAK_SEEDS, *RESTARTS_SOAK)
     for i, test in enumerate(process.TESTS + tier_process.TESTS):
         yield test.__name__, lambda t=test, b=(
             FIRST_PORT + PORTS_PER_TEST * i): run_process(t, b)
