A trial goes on until its verdict

What callers saw: after a request had ended all targets, it was sent to them again every second or two by one caller after the other until it was blocked, and each of these ended one or two that had just come back.

Cause: a trial ended without a verdict. Attempts that met a target which was still down, or that a target rejected, counted as its two attempts; a shard that had not been tried was waited for although it had no target; and a trial was refused until so many shards had targets as an answer needs, so that the request was sent to all of them before it was known as blocked.

Change: what did not run is no attempt of a trial; only shards with a target are preferred; a trial starts as soon as two shards have one, and is not ended for want of coverage. No target at all is refused at once as before.

--- a/call.c
+++ b/call.c
@@ -370,6 +370,13 @@
 	return reply->status / 100 == 2 ? REPLY_GOOD : REPLY_FAILED;
 }
 
+/* The target did not run the request, or did not even receive it. */
+static bool never_ran(const struct flow_reply *reply)
+{
+	return reply->result == FETCH_REFUSED || reply->not_run ||
+	       reply->wrong_target;
+}
+
 void call_mark_served(struct calls *calls, struct call *call)
 {
 	call->served = true;
@@ -433,14 +440,15 @@
 		baseline_add(copy.baseline, calls->now - copy.sent_at);
 	}
 	record_evidence(calls, call, &copy, reply);
+	if (call && never_ran(reply))
+		trial_on_not_run(call);
 	if (reply->cold_us > 0)
 		copy.target->cold_until = calls->now + reply->cold_us;
 	balancer_on_reply(calls->balancer, copy.target, classify_reply(reply),
 			  copy.baseline_us, copy.sent_at, calls->now);
 	if (!call)
 		return;
-	if (reply->result != FETCH_REFUSED && !reply->not_run &&
-	    !reply->wrong_target)
+	if (!never_ran(reply))
 		call->parts[copy.part].ran = true;
 	else if (reply->not_run && !reply->wrong_target)
 		mark_rejected(&call->parts[copy.part], copy.target->key);
--- a/merge.c
+++ b/merge.c
@@ -25,6 +25,8 @@
 	DELEGATIONS_MAX = 2,
 	/* A message to a node costs as much as a request to a target. */
 	BATCH_SHARDS_MIN = 2,
+	/* A verdict takes two runs, and a run may end the only target left. */
+	TRIAL_SHARDS_MIN = 2,
 };
 
 /* Maximum hedge delay: the hedge's own reply must still be in time. */
@@ -188,6 +190,25 @@
 	return possible;
 }
 
+/*
+ * A trial needs one target, not the coverage of an answer. After a crash of all
+ * targets it runs as soon as the first is back, so that the request is blocked
+ * before it can crash the others once more.
+ */
+static bool is_in_trial(const struct calls *calls, const struct call *call)
+{
+	if (!is_suspect(calls, call) || trial_exhausted(calls, call))
+		return false;
+	if (call->attempts)
+		return true;
+	for (size_t i = 0; i < call->nparts; i++)
+		if (call_may_send(call, &call->parts[i]) &&
+		    balancer_has_usable(calls->balancer, call->parts[i].service,
+					calls->now))
+			return true;
+	return false;
+}
+
 /* For a caller's request. Return: true if the call has ended. */
 static bool finish_answer(struct calls *calls, struct call *call)
 {
@@ -212,7 +233,8 @@
 		give_up(calls, call, "out of time");
 		return true;
 	}
-	if (!merge_has_coverage(call->route, possible)) {
+	if (!merge_has_coverage(call->route, possible) &&
+	    !is_in_trial(calls, call)) {
 		give_up(calls, call, "too few shards can be reached");
 		return true;
 	}
@@ -356,6 +378,15 @@
 	return reachable;
 }
 
+/* Return: shards with a target suffice for an answer, or for a trial. */
+static bool is_reachable(struct calls *calls, const struct call *call)
+{
+	size_t reachable = count_reachable(calls, call);
+
+	return merge_has_coverage(call->route, reachable) ||
+	       (is_suspect(calls, call) && reachable >= TRIAL_SHARDS_MIN);
+}
+
 static void delegate_parts(struct calls *calls, struct call *call,
 			   struct member_info *member, const uint16_t *parts,
 			   size_t nparts, size_t ntried)
@@ -546,7 +577,7 @@
 			schedule_next_review(calls, call);
 		return;
 	}
-	if (!merge_has_coverage(call->route, count_reachable(calls, call))) {
+	if (!is_reachable(calls, call)) {
 		call_refuse(calls, call, 503, "too few shards have a target",
 			    RETRY_AFTER_US);
 		return;
--- a/trial.c
+++ b/trial.c
@@ -88,6 +88,17 @@
 	       call->trial.nattempts < TRIAL_ATTEMPTS_MAX;
 }
 
+/*
+ * After a crash of all targets a trial may find only targets that are still
+ * down. If these used up its attempts, one call after the other would have a
+ * trial, each at the few targets that are up again, and none a verdict.
+ */
+void trial_on_not_run(struct call *call)
+{
+	if (call->trial.lease == LEASE_GRANTED && call->trial.nattempts)
+		call->trial.nattempts--;
+}
+
 bool trial_exhausted(const struct calls *calls, const struct call *call)
 {
 	switch (poison_verdict(calls->poison, &call->fingerprint)) {
@@ -112,10 +123,13 @@
  * A shard that loses all of its targets is missing from every answer, so the
  * second trial is sent to another shard.
  */
-static bool has_untried_part(const struct call *call, const struct part *part)
+static bool has_untried_part(const struct calls *calls, const struct call *call,
+			     const struct part *part)
 {
 	for (size_t i = 0; part->ntried && i < call->nparts; i++)
-		if (!call->parts[i].ntried)
+		if (!call->parts[i].ntried &&
+		    balancer_has_usable(calls->balancer, call->parts[i].service,
+					calls->now))
 			return true;
 	return false;
 }
@@ -129,7 +143,7 @@
 	if (trial_exhausted(calls, call))
 		return SEND_BLOCKED;
 	if (call->attempts || call->batches || call->origin.len ||
-	    has_untried_part(call, part))
+	    has_untried_part(calls, call, part))
 		return SEND_HELD;
 	if (call->trial.lease == LEASE_NONE)
 		request_lease(calls, call);
