Evidence of several callers against a request adds up

What callers saw: a request that many callers send, each crashing one target in its trial, was not blocked for the next of them.

Cause: a block for all callers needed two callers with two crashes each. A trial that found one target up had one crash, so it blocked nobody, and a caller that was blocked did not count for the next.

Change: from the third round on the crashes of all callers add up, unless a target has answered any of them. Entries of one crash in a trial take part in the comparison of nodes, as verdicts rest on them now.

The new case of test_verdict failed before; the one beside it, an answer to one caller, guards the others. The list in the test of another node's verdict was as long as the targets of an entry; it holds all callers now.

--- a/poison.c
+++ b/poison.c
@@ -126,12 +126,20 @@
 	free(entry);
 }
 
-/** struct evidence - summary of a content over all its callers */
+/**
+ * struct evidence - summary of a content over all its callers
+ * @callers: number with enough evidence to be suspect
+ * @crashed_callers: number with any evidence
+ * @blocked: for at least one caller
+ * @harmless: for at least one caller
+ */
 struct evidence {
 	int rounds;
 	size_t crashes;
-	int callers; /* number with enough evidence to be suspect */
-	bool blocked; /* for at least one caller */
+	int callers;
+	int crashed_callers;
+	bool blocked;
+	bool harmless;
 };
 
 static bool is_blocked(const struct poison_entry *entry, size_t crashes)
@@ -149,6 +157,8 @@
 			evidence.rounds = at->rounds;
 		evidence.crashes += at->ncrashes;
 		evidence.callers += at->ncrashes >= SUSPECT_CRASHES;
+		evidence.crashed_callers += at->ncrashes > 0;
+		evidence.harmless = evidence.harmless || at->harmless;
 	}
 	for (const struct poison_entry *at = first; at; at = at->next)
 		evidence.blocked =
@@ -206,6 +216,21 @@
 
 /* Verdict. */
 
+/*
+ * Other callers may send the same content with other headers, so what one of
+ * them has shown does not block it for all. If each next caller had to show as
+ * much alone, a request that many callers send would crash targets for each of
+ * them. So their evidence adds up as long as no target has answered any.
+ */
+static bool is_blocked_for_all(const struct evidence *evidence)
+{
+	if (evidence->blocked && evidence->callers > 1)
+		return true;
+	return !evidence->harmless && evidence->crashed_callers > 1 &&
+	       evidence->rounds >= BLOCKED_ROUNDS &&
+	       evidence->crashes >= BLOCKED_CRASHES;
+}
+
 enum poison_verdict poison_verdict(const struct poison *poison,
 				   const struct fingerprint *fingerprint)
 {
@@ -222,7 +247,7 @@
 		return POISON_NONE;
 	if (own && is_blocked(own, evidence.crashes))
 		return POISON_BLOCKED;
-	if (evidence.blocked && evidence.callers > 1)
+	if (is_blocked_for_all(&evidence))
 		return POISON_BLOCKED;
 	return evidence.callers ? POISON_SUSPECT : POISON_NONE;
 }
@@ -511,7 +536,9 @@
 
 bool poison_is_shared(const struct poison_entry *entry, int64_t now)
 {
-	return entry->ncrashes >= SUSPECT_CRASHES &&
+	bool from_trial = entry->ncrashes && entry->rounds > 1;
+
+	return (entry->ncrashes >= SUSPECT_CRASHES || from_trial) &&
 	       now - entry->crashes[0].at > PROPAGATION_US;
 }
 
--- a/poison.h
+++ b/poison.h
@@ -13,7 +13,8 @@
  * answer clears it. After several rounds without an answer it is blocked.
  *
  * Evidence is kept per content and caller. The content is blocked for every
- * caller once it has crashed targets for two of them.
+ * caller once it has crashed targets for two of them, each of which was blocked
+ * or suspect, or once their evidence adds up and none of them had an answer.
  */
 
 enum {
@@ -158,7 +159,10 @@
  * @store_fresh: the table of targets is up to date
  */
 void poison_sweep(struct poison *poison, bool store_fresh, int64_t now);
-/** poison_is_shared() - suspect for so long that all nodes have the entry. */
+/**
+ * poison_is_shared() - suspect, or evidence of a trial, for so long that all
+ * nodes have the entry.
+ */
 bool poison_is_shared(const struct poison_entry *entry, int64_t now);
 /**
  * poison_digest() - digest of the shared entries, equal on nodes with the same
--- a/tests/check_poison.c
+++ b/tests/check_poison.c
@@ -115,7 +115,7 @@
 	STEP_SWEEP, /* evidence is compared with the published targets */
 };
 
-/** struct step - @caller: 0 or 1; @target: index of a target, or seconds */
+/** struct step - @caller: 0 to 3; @target: index of a target, or seconds */
 struct step {
 	enum step_kind kind;
 	int caller;
@@ -189,6 +189,19 @@
 	    { STEP_BREAK, 1, 3 },
 	    { STEP_BREAK, 1, 4 } },
 	  { POISON_BLOCKED, POISON_BLOCKED } },
+	{ "each next caller crashes one target, asked alone",
+	  { { STEP_BREAK_IN_FIRST_ROUND, 0, 0 },
+	    { STEP_BREAK_IN_FIRST_ROUND, 0, 1 },
+	    { STEP_BREAK, 2, 2 },
+	    { STEP_BREAK, 3, 3 } },
+	  { POISON_BLOCKED, POISON_BLOCKED } },
+	{ "the same, but a target answered one of them",
+	  { { STEP_BREAK_IN_FIRST_ROUND, 0, 0 },
+	    { STEP_BREAK_IN_FIRST_ROUND, 0, 1 },
+	    { STEP_ANSWER, 1, 2 },
+	    { STEP_BREAK, 2, 2 },
+	    { STEP_BREAK, 3, 3 } },
+	  { POISON_SUSPECT, POISON_NONE } },
 	{ "the targets did not crash",
 	  { { STEP_BREAK, 0, 0 },
 	    { STEP_BREAK, 0, 1 },
@@ -343,7 +356,7 @@
 START_TEST(test_verdict_of_another_node)
 {
 	const struct verdict_case *c = &verdict_cases[_i];
-	struct poison_entry *list[POISON_TARGETS_MAX];
+	struct poison_entry *list[STEPS_MAX + 1];
 	struct poison_entry *got;
 	struct buf body = { 0 };
 	struct fixture fixture;
