--- a/merge.c
+++ b/merge.c
@@ -191,9 +191,9 @@
 }
 
 /*
- * A trial needs one target, not the coverage of an answer. After a crash of all
- * targets it runs as soon as the first is back, so that the request is blocked
- * before it can crash the others once more.
+ * A trial needs a target for each of its runs, not the coverage of an answer.
+ * After a crash of all targets it runs as soon as the first ones are back, so
+ * that the request is blocked before the others are.
  */
 static bool is_in_trial(const struct calls *calls, const struct call *call)
 {
--- a/poison.h
+++ b/poison.h
@@ -13,8 +13,8 @@
  * answer clears it. After several rounds without an answer it is blocked.
  *
  * Evidence is kept per content and caller. The content is blocked for every
- * caller once it has crashed targets for two of them, each of which was blocked
- * or suspect, or once their evidence adds up and none of them had an answer.
+ * caller once two of them have enough evidence each, or once the evidence of
+ * several adds up and no target has answered any of them.
  */
 
 enum {
--- a/poison_sync.c
+++ b/poison_sync.c
@@ -68,7 +68,7 @@
 	return entry->pending;
 }
 
-/* Also those that are still in flight: a node that starts is sent no others. */
+/* Also new ones, which a node that starts now may not have been sent. */
 static bool is_suspicious(const struct poison_entry *entry, int64_t now)
 {
 	(void)now;
