A trial that finds no target ends after half a second

What callers saw: 504 at its deadline for a request that was suspect, where it is refused at once otherwise.

Cause: since a trial goes on until its verdict, it waited for any shard that has a target, also where that target was the one it had used.

Change: a trial ends half a second after its lease or its last run, if none runs. That test now also states that no call waits for its deadline.

--- a/call.c
+++ b/call.c
@@ -440,8 +440,8 @@
 		baseline_add(copy.baseline, calls->now - copy.sent_at);
 	}
 	record_evidence(calls, call, &copy, reply);
-	if (call && never_ran(reply))
-		trial_on_not_run(call);
+	if (call)
+		trial_on_attempt_ended(calls, call, !never_ran(reply));
 	if (reply->cold_us > 0)
 		copy.target->cold_until = calls->now + reply->cold_us;
 	balancer_on_reply(calls->balancer, copy.target, classify_reply(reply),
--- a/call.h
+++ b/call.h
@@ -90,13 +90,15 @@
 /**
  * struct trial - trial of a suspect request
  * @lease_reply_deadline: when a pending lease request expires
- * @nattempts: attempts sent with the lease
+ * @nattempts: attempts sent with the lease that ran, or may still run
+ * @idle_since: when the lease was granted, or its last run ended
  * @held: at least one attempt was held back
  */
 struct trial {
 	enum lease_state lease;
 	int64_t lease_reply_deadline;
 	int nattempts;
+	int64_t idle_since;
 	bool held;
 };
 
--- a/tests/check_deadly.c
+++ b/tests/check_deadly.c
@@ -314,6 +314,9 @@
 	ck_assert_msg(sim->poison[1].late <= LATE_RUNS_MAX,
 		      "%s: %d late calls, %d targets crashed", c->name,
 		      sim->poison[1].late, sim->poison[1].crashes);
+	/* No caller waits for its deadline. */
+	for (int i = 0; i < sim->ncalls; i++)
+		ck_assert_int_ne(sim->calls[i].status, 504);
 	sim_destroy(sim);
 }
 END_TEST
--- a/trial.c
+++ b/trial.c
@@ -8,6 +8,8 @@
 	LEASE_REPLY_TIMEOUT_US = 50000,
 	/* Attempts of one call; after these it is cleared or blocked. */
 	TRIAL_ATTEMPTS_MAX = 2,
+	/* A caller is not kept waiting for a target for longer than this. */
+	TRIAL_IDLE_US = 500000,
 	/* A trial takes about as long as an ordinary request. */
 	TRIAL_RETRY_US = 300000,
 	/* Retries are refused too, so a shorter time would only add load. */
@@ -22,6 +24,7 @@
 static void set_lease(struct calls *calls, struct call *call, bool granted)
 {
 	call->trial.lease = granted ? LEASE_GRANTED : LEASE_DENIED;
+	call->trial.idle_since = calls->now;
 	if (granted)
 		metric_add(&calls->decision_log->metrics, METRIC_TRIALS);
 }
@@ -82,10 +85,11 @@
 	       calls->now < call->trial.lease_reply_deadline;
 }
 
-static bool has_lease(const struct call *call)
+static bool has_lease(const struct calls *calls, const struct call *call)
 {
 	return call->trial.lease == LEASE_GRANTED &&
-	       call->trial.nattempts < TRIAL_ATTEMPTS_MAX;
+	       call->trial.nattempts < TRIAL_ATTEMPTS_MAX &&
+	       calls->now - call->trial.idle_since < TRIAL_IDLE_US;
 }
 
 /*
@@ -93,9 +97,13 @@
  * down. If these used up its attempts, one call after the other would have a
  * trial, each at the few targets that are up again, and none a verdict.
  */
-void trial_on_not_run(struct call *call)
+void trial_on_attempt_ended(struct calls *calls, struct call *call, bool ran)
 {
-	if (call->trial.lease == LEASE_GRANTED && call->trial.nattempts)
+	if (call->trial.lease != LEASE_GRANTED)
+		return;
+	if (ran)
+		call->trial.idle_since = calls->now;
+	else if (call->trial.nattempts)
 		call->trial.nattempts--;
 }
 
@@ -116,7 +124,7 @@
 	if (call->origin.len)
 		return true;
 	return call->trial.lease != LEASE_NONE && !awaits_lease(calls, call) &&
-	       !has_lease(call);
+	       !has_lease(calls, call);
 }
 
 /*
@@ -147,7 +155,7 @@
 		return SEND_HELD;
 	if (call->trial.lease == LEASE_NONE)
 		request_lease(calls, call);
-	if (!has_lease(call))
+	if (!has_lease(calls, call))
 		return trial_exhausted(calls, call) ? SEND_BLOCKED : SEND_HELD;
 	return SEND_DONE;
 }
--- a/trial.h
+++ b/trial.h
@@ -15,8 +15,8 @@
 /** trial_check_send() - SEND_DONE if @part may be sent to a target now. */
 enum send_result trial_check_send(struct calls *calls, struct call *call,
 				  const struct part *part);
-/** trial_on_not_run() - the target of the last attempt did not run it. */
-void trial_on_not_run(struct call *call);
+/** trial_on_attempt_ended() - @ran: the target ran it, as far as is known */
+void trial_on_attempt_ended(struct calls *calls, struct call *call, bool ran);
 /** trial_exhausted() - the request of @call will not be sent any more. */
 bool trial_exhausted(const struct calls *calls, const struct call *call);
 /**
