The fuzzer's bound of the whole run stands beside that of each window

Cause: put the limit of each window in the place of a bound on the whole run. Over many windows the old one can be the stricter, so a check that held was loosened there, found in a last read of the diff.

Change: both are checked.

Conclusion: no check is weaker than before.

--- a/tests/fuzz_tier.c
+++ b/tests/fuzz_tier.c
@@ -237,7 +237,8 @@
 			return "a poison request reached targets too often";
 	if (over_limit > 3)
 		return "shards were sent to more targets than the route allows";
-	if (window.repeats > window.allowed)
+	if (window.repeats > window.allowed ||
+	    sim->extra_sends > sim->first_sends / 5 + 2 * SIM_SHARDS * 60 * 2)
 		return "retries exceeded the shared budget";
 	return NULL;
 }
