A reply's headers are bounded by their size, not by their number

Callers saw 502 for an order that had run and was answered: a target's reply with over 64 headers was treated as malformed. The limit was an array of 64 places, a constant of ours for what another side may send.

The number in Keep-Alive is read within its header; strtoll() went on into the body (str_parse_int()).

An empty id still counts as another one, as before.

--- a/head.c
+++ b/head.c
@@ -25,11 +25,6 @@
 	{ "Date", 4 },
 };
 
-static bool header_name_eq(struct str a, struct str b)
-{
-	return a.len == b.len && !strncasecmp(a.ptr, b.ptr, a.len);
-}
-
 static bool is_hop_by_hop(struct str name)
 {
 	for (size_t i = 0;
@@ -54,20 +49,12 @@
 	       !header_name_eq(name, names->expected);
 }
 
-static void add_line(struct buf *out, struct str name, struct str value)
-{
-	buf_str_add(out, name);
-	buf_str_add(out, STR(": "));
-	buf_str_add(out, value);
-	buf_str_add(out, STR("\r\n"));
-}
-
 static void add_number(struct buf *out, struct str name, int64_t value)
 {
 	char text[NUMBER_TEXT_MAX];
 	int len = snprintf(text, sizeof(text), "%lld", (long long)value);
 
-	add_line(out, name, (struct str){ text, (size_t)len });
+	header_add_line(out, name, (struct str){ text, (size_t)len });
 }
 
 void head_write_request(const struct dialect *dialect,
@@ -81,11 +68,11 @@
 	buf_str_add(out, STR(" "));
 	buf_str_add(out, request->uri);
 	buf_str_add(out, STR(" HTTP/1.1\r\n"));
-	add_line(out, STR("Host"), request->host);
+	header_add_line(out, STR("Host"), request->host);
 	if (request->request_id.len)
-		add_line(out, names->request_id, request->request_id);
+		header_add_line(out, names->request_id, request->request_id);
 	add_number(out, names->time_left, left_ms > 0 ? left_ms : 1);
-	add_line(out, names->expected, fx->expected);
+	header_add_line(out, names->expected, fx->expected);
 	buf_str_add(out, request->headers);
 	if (request->body.len || !str_eq(request->method, STR("GET")))
 		add_number(out, STR("Content-Length"),
@@ -93,12 +80,6 @@
 	buf_str_add(out, STR("\r\n"));
 }
 
-static struct str find_reply_header(const struct upstream_reply *reply,
-				    struct str name)
-{
-	return header_find(reply->headers, reply->nheaders, name);
-}
-
 /* Header values are not NUL-terminated, so the text is copied. */
 static double parse_number(struct str value, double fallback)
 {
@@ -150,20 +131,22 @@
 				    .waiting = -1 };
 	if (reply->result != FETCH_OK)
 		return;
-	out->signature = find_reply_header(reply, names->signature);
+	out->signature = headers_find(reply->headers, names->signature);
 	out->encoded =
-		find_reply_header(reply, STR("Content-Encoding")).len > 0;
+		headers_find(reply->headers, STR("Content-Encoding")).len > 0;
 	out->wrong_target = reply->status == 421;
 	out->not_run = out->wrong_target ||
-		       find_reply_header(reply, names->not_run).len > 0;
-	cold = find_reply_header(reply, names->cold_left);
+		       headers_find(reply->headers, names->not_run).len > 0;
+	cold = headers_find(reply->headers, names->cold_left);
 	out->cold_us = head_parse_time_left(cold);
-	parse_load(find_reply_header(reply, names->load), out);
+	parse_load(headers_find(reply->headers, names->load), out);
 	out->body = reply->body;
-	for (size_t i = 0; i < reply->nheaders; i++)
-		if (!is_hop_by_hop(reply->headers[i].name))
-			add_line(lines, reply->headers[i].name,
-				 reply->headers[i].value);
+	for (size_t i = 0; i < reply->headers->count; i++) {
+		struct header header = headers_at(reply->headers, i);
+
+		if (!is_hop_by_hop(header.name))
+			header_add_line(lines, header.name, header.value);
+	}
 	out->headers = buf_str(lines);
 }
 
@@ -175,12 +158,13 @@
 
 	buf_str_add(out, fx->headers);
 	if (fx->merged) {
-		add_line(out, dialect->names.signatures, fx->signatures);
+		header_add_line(out, dialect->names.signatures, fx->signatures);
 		add_number(out, dialect->names.missing, (int64_t)fx->missing);
 	}
 	if (!fx->retry_after_us)
 		return;
 	len = snprintf(text, sizeof(text), "%.3f",
 		       (double)fx->retry_after_us / 1e6);
-	add_line(out, STR("Retry-After"), (struct str){ text, (size_t)len });
+	header_add_line(out, STR("Retry-After"),
+			(struct str){ text, (size_t)len });
 }
--- a/reply.h
+++ b/reply.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include <http_parser.h>
-
-#include "str.h"
+#include "headers.h"
 
 /**
  * DOC: incremental parser of an HTTP reply
@@ -12,26 +10,8 @@
  * replies that are too large are errors.
  */
 
-enum {
-	REPLY_HEADERS_MAX = 64,
-};
-
-/** struct header - one header of a request or reply */
-struct header {
-	struct str name;
-	struct str value;
-};
-
-/** struct span - range of reply.text, which may be reallocated as it grows */
-struct span {
-	size_t offset;
-	size_t len;
-};
-
 /**
  * struct reply - a reply being parsed
- * @text: header names and values, then the body
- * @body_offset: offset of the body in @text
  * @body_max: largest body accepted, bytes
  * @no_body: the reply has no body, whatever its headers state
  * @echo_name, @echo: name and expected value of a header that echoes the
@@ -44,12 +24,8 @@
  */
 struct reply {
 	struct http_parser parser;
-	struct buf text;
-	struct span names[REPLY_HEADERS_MAX];
-	struct span values[REPLY_HEADERS_MAX];
-	size_t nheaders;
-	bool in_value;
-	size_t body_offset;
+	struct headers headers;
+	struct buf body;
 	size_t body_max;
 	bool no_body;
 	struct buf echo_name;
@@ -70,8 +46,3 @@
 ssize_t reply_parse(struct reply *reply, const char *bytes, size_t len);
 /** reply_eof() - handle end of stream, which ends a reply without a length. */
 void reply_eof(struct reply *reply);
-/** reply_headers() - fill @out, which has REPLY_HEADERS_MAX items. */
-void reply_headers(const struct reply *reply, struct header *out);
-/** header_find() - value of the first header named @name, or empty. */
-struct str header_find(const struct header *headers, size_t count,
-		       struct str name);
--- a/str.c
+++ b/str.c
@@ -1,5 +1,6 @@
 #include "str.h"
 
+#include <ctype.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -56,6 +57,22 @@
 	free((char *)s.ptr);
 }
 
+int64_t str_parse_int(struct str s, int64_t max)
+{
+	int64_t number = -1;
+
+	for (size_t i = 0; i < s.len && isdigit((unsigned char)s.ptr[i]); i++) {
+		int digit = s.ptr[i] - '0';
+
+		if (number < 0)
+			number = 0;
+		if (number > (max - digit) / 10)
+			return max;
+		number = number * 10 + digit;
+	}
+	return number;
+}
+
 void buf_reserve(struct buf *buf, size_t more)
 {
 	size_t cap = buf->cap ? buf->cap : BUF_MIN_BYTES;
--- a/str.h
+++ b/str.h
@@ -76,6 +76,13 @@
 struct str str_heap_dup(struct str s);
 void str_free(struct str s);
 
+/**
+ * str_parse_int() - number whose decimal digits @s begins with.
+ *
+ * Return: the number, at most @max, or -1 if @s does not begin with a digit.
+ */
+int64_t str_parse_int(struct str s, int64_t max);
+
 void buf_reserve(struct buf *buf, size_t more);
 void buf_add(struct buf *buf, const void *data, size_t len);
 void buf_str_add(struct buf *buf, struct str s);
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -830,24 +830,52 @@
 START_TEST(test_reply_head)
 {
 	const struct reply_case *c = &reply_cases[_i];
-	struct header header = { str_of(c->name), str_of(c->value) };
+	struct headers headers = { 0 };
 	struct upstream_reply raw = { .result = FETCH_OK,
 				      .status = c->status,
-				      .headers = &header,
-				      .nheaders = 1 };
+				      .headers = &headers };
 	struct flow_reply got;
 	struct buf lines = { 0 };
 
+	headers_add_name(&headers, c->name, strlen(c->name));
+	headers_add_value(&headers, c->value, strlen(c->value));
+
 	head_parse_reply(&platform_dialect, &raw, &got, &lines);
 	ck_assert_int_eq(got.not_run, c->not_run);
 	ck_assert_int_eq(got.wrong_target, c->wrong_target);
 	ck_assert_int_eq(got.encoded, c->encoded);
 	ck_assert_int_eq(got.cold_us, c->cold_us);
 	ck_assert_int_eq(got.running, c->running);
+	headers_free(&headers);
 	buf_free(&lines);
 }
 END_TEST
 
+/** struct number_case - text, of which @len bytes count, and its number */
+struct number_case {
+	const char *text;
+	size_t len;
+	int64_t number;
+};
+
+static const struct number_case number_cases[] = {
+	{ "5", 1, 5 },	       { "5, max=9", 8, 5 },
+	{ "123", 1, 1 },       { "0", 1, 0 },
+	{ "", 0, -1 },	       { "x5", 2, -1 },
+	{ "-5", 2, -1 },       { "86400", 5, 86400 },
+	{ "86401", 5, 86400 }, { "99999999999999999999", 20, 86400 },
+};
+
+/* Text is not terminated: digits behind it, such as a body's, don't count. */
+START_TEST(test_parse_int)
+{
+	const struct number_case *c = &number_cases[_i];
+	struct str text = { c->text, c->len };
+
+	ck_assert_int_eq(str_parse_int(text, 86400), c->number);
+}
+END_TEST
+
 struct header_case {
 	const char *name;
 	bool forwarded;
@@ -917,6 +945,8 @@
 	tcase_add_test(tcase, test_cold_target);
 	tcase_add_loop_test(tcase, test_conn_limits_after_restart, 0,
 			    COUNT(conn_limit_cases));
+	tcase_add_loop_test(tcase, test_parse_int, 0,
+			    sizeof(number_cases) / sizeof(*number_cases));
 	tcase_add_loop_test(tcase, test_reply_head, 0, COUNT(reply_cases));
 	tcase_add_loop_test(tcase, test_forwarded_headers, 0,
 			    COUNT(header_cases));
--- a/tests/check_upstream.c
+++ b/tests/check_upstream.c
@@ -39,6 +39,10 @@
 	"HTTP/1.1 200 OK\r\nRequest-Id: " id \
 	"\r\nContent-Length: 3\r\n\r\n" body
 
+#define TEN_HEADERS \
+	"A: 1\r\nA: 2\r\nA: 3\r\nA: 4\r\nA: 5\r\n" \
+	"A: 6\r\nA: 7\r\nA: 8\r\nA: 9\r\nA: 0\r\n"
+
 static const struct script scripts[] = {
 	{ "complete", REPLY("r1", "one"), REPLY("r2", "two"), false, false,
 	  FETCH_OK, 200, "one", true, "two", false, 0 },
@@ -78,6 +82,18 @@
 	{ "reply to another request first",
 	  REPLY("r0", "old") REPLY("r1", "one"), REPLY("r2", "two"), false,
 	  false, FETCH_OK, 200, "one", true, "two", false, 0 },
+	{ "spaces behind the request's id", REPLY("r1 \t", "one"),
+	  REPLY("r2", "two"), false, false, FETCH_OK, 200, "one", true, "two",
+	  false, 0 },
+	{ "an empty request's id is another one",
+	  REPLY("", "old") REPLY("r1", "one"), REPLY("r2", "two"), false, false,
+	  FETCH_OK, 200, "one", true, "two", false, 0 },
+	{ "many headers",
+	  "HTTP/1.1 200 OK\r\n" TEN_HEADERS TEN_HEADERS TEN_HEADERS TEN_HEADERS
+		  TEN_HEADERS TEN_HEADERS TEN_HEADERS
+	  "Content-Length: 3\r\n\r\none",
+	  REPLY("r2", "two"), false, false, FETCH_OK, 200, "one", true, "two",
+	  false, 0 },
 	{ "as long as the limit", REPLY("r1", "one"), REPLY("r2", "two"), false,
 	  false, FETCH_OK, 200, "one", true, "two", false, 3 },
 	{ "longer than the limit", REPLY("r1", "one"), REPLY("r2", "two"),
--- a/upstream.c
+++ b/upstream.c
@@ -27,6 +27,7 @@
 	IDLE_TIMEOUT_US = 1500000,
 	KEEP_ALIVE_SHARE_NUM = 7,
 	KEEP_ALIVE_SHARE_DEN = 10,
+	KEEP_ALIVE_MAX_S = 86400,
 	SWEEP_INTERVAL_US = 250000,
 	/* An endpoint without connections is removed after this long. */
 	ENDPOINT_RETENTION_US = 60000000,
@@ -131,23 +132,27 @@
 /* Timeout of a "Keep-Alive: timeout=5" header in microseconds, or 0. */
 static int64_t keep_alive_us(struct str value)
 {
-	static const char key[] = "timeout=";
+	static const struct str key = { "timeout=", 8 };
 
-	for (size_t i = 0; i + sizeof(key) - 1 < value.len; i++)
-		if (!strncasecmp(value.ptr + i, key, sizeof(key) - 1))
-			return strtoll(value.ptr + i + sizeof(key) - 1, NULL,
-				       10) *
-			       1000000;
+	while (value.len > key.len) {
+		if (!strncasecmp(value.ptr, key.ptr, key.len)) {
+			value.ptr += key.len;
+			value.len -= key.len;
+			return str_parse_int(value, KEEP_ALIVE_MAX_S) * 1000000;
+		}
+		value.ptr++;
+		value.len--;
+	}
 	return 0;
 }
 
-static void update_idle_timeout(struct conn *conn, const struct header *headers)
+static void update_idle_timeout(struct conn *conn)
 {
 	struct str value =
-		header_find(headers, conn->reply.nheaders, STR("Keep-Alive"));
+		headers_find(&conn->reply.headers, STR("Keep-Alive"));
 	int64_t us = value.len ? keep_alive_us(value) : 0;
 
-	if (us)
+	if (us > 0)
 		conn->endpoint->idle_timeout_us =
 			us * KEEP_ALIVE_SHARE_NUM / KEEP_ALIVE_SHARE_DEN;
 }
@@ -156,28 +161,27 @@
 static void conn_complete(struct conn *conn, bool keep)
 {
 	struct upstream *up = conn->up;
-	struct header headers[REPLY_HEADERS_MAX];
-	struct buf text = conn->reply.text;
-	size_t body_offset = conn->reply.body_offset;
+	/* The handler may reuse or close the connection. */
+	struct headers headers = conn->reply.headers;
+	struct buf body = conn->reply.body;
 	uint64_t id = conn->id;
 	struct upstream_reply reply = {
 		.result = FETCH_OK,
 		.status = (int)conn->reply.parser.status_code,
-		.headers = headers,
-		.nheaders = conn->reply.nheaders,
-		.body = { text.ptr + body_offset, text.len - body_offset },
+		.headers = &headers,
+		.body = buf_str(&body),
 		.opened = conn->fresh,
 	};
 
-	reply_headers(&conn->reply, headers);
-	update_idle_timeout(conn, headers);
+	update_idle_timeout(conn);
 	/* The unsent rest of a long body must not precede the next request. */
 	if (conn->sent < conn->out.len)
 		keep = false;
 	apr_hash_set(up->in_flight, &conn->id, sizeof(conn->id), NULL);
 	conn->id = 0;
 	conn->fresh = false;
-	conn->reply.text = (struct buf){ 0 };
+	conn->reply.headers = (struct headers){ 0 };
+	conn->reply.body = (struct buf){ 0 };
 	if (keep) {
 		conn->state = CONN_IDLE;
 		conn->idle_until = loop_now() + conn->endpoint->idle_timeout_us;
@@ -186,7 +190,8 @@
 		conn_close(conn);
 	}
 	up->handler.done(up->handler.ctx, id, &reply);
-	buf_free(&text);
+	headers_free(&headers);
+	buf_free(&body);
 }
 
 /* Sockets. */
--- a/upstream.h
+++ b/upstream.h
@@ -50,13 +50,13 @@
 /**
  * struct upstream_reply - outcome of a request
  * @result: FETCH_REFUSED only if no byte was sent
+ * @headers: set with FETCH_OK only
  * @opened: a new connection was opened for the request
  */
 struct upstream_reply {
 	enum fetch_result result;
 	int status;
-	const struct header *headers;
-	size_t nheaders;
+	const struct headers *headers;
 	struct str body;
 	bool opened;
 };
