What the configuration allows a caller is read and answered

Callers saw, with headers well within max_header_bytes (16384): an order of 13.4 kB ran, was answered by its target within 10 ms, and its kept connection was closed without a word (24 of 24); 16 kB, or 700 cookies, 431; 57 kB under a limit of 65536, 431; 800 query parameters, no answer and a connection that stays open.

Cause: libmicrohttpd gives each connection a pool of fixed size, here 32 KiB, in which lie the request's head, a copy of its cookies, an entry for each header, cookie and parameter, and the head of the answer. What an entry costs follows from its number, not from its bytes, so that no pool below some 30 times the limit holds each allowed request. The pool is set when the listener opens, the limit comes later and changes. Of the four limits only max_body_bytes was applied; of the others one constant each stood in their place (32 KiB, 120 s, 120 s).

Ruled out: the leaf (it had answered), the reducer (its answer was handed to the shell).

Change: http.c reads requests with http-parser, the library that already parses the replies (http_parse.c, headers.c); it takes memory for what has arrived. All four limits follow the configuration in force; above the head's limit 431 at once, for a head that takes too long 408, nothing passed on. Until a configuration is known, wide limits hold, since all is answered 503 then. Answers take what memory they need. Both engines, the health path and the metrics use it. Without descriptors the connection idle longest makes room. Metrics caller_connections, refused_unread; a log line names what was refused and the limit.

--- a/edge.c
+++ b/edge.c
@@ -23,8 +23,15 @@
 
 enum {
 	SETTINGS_MAX_BYTES = 256 * 1024,
-	/* Applies until the configuration sets a limit. */
-	BODY_MAX_BYTES = 256 * 1024,
+	/*
+	 * Apply until a configuration sets limits. Every request is refused
+	 * until then, to be sent again, and so must be those that a
+	 * configuration may allow.
+	 */
+	EARLY_HEADER_MAX_BYTES = 1024 * 1024,
+	EARLY_BODY_MAX_BYTES = 4 * 1024 * 1024,
+	/* Of health checks and the metrics. */
+	BODY_MAX_BYTES = 64 * 1024,
 	/* Limit of a page of the store, besides its largest value. */
 	STORE_PAGE_MAX_BYTES = 4 * 1024 * 1024,
 	/* A value is up to this many times its decoded size on the wire. */
@@ -269,6 +276,7 @@
 	struct buf out = { 0 };
 
 	tier_metrics(edge->tier, &out);
+	http_metrics(edge->callers, &out);
 	http_respond(req, 200, STR("Content-Type: text/plain\r\n"),
 		     buf_str(&out));
 	buf_free(&out);
@@ -336,7 +344,7 @@
 		edge->ready = fx->ready;
 		break;
 	case FLOW_LIMITS:
-		http_set_max_body(edge->callers, fx->limits.body_bytes);
+		http_set_limits(edge->callers, &fx->limits);
 		break;
 	case FLOW_EXIT:
 		loop_stop(edge->loop);
@@ -522,8 +530,11 @@
 					edge };
 	struct http_handler health = { on_health_request, NULL, edge };
 	struct http_handler metrics = { on_metrics_request, NULL, edge };
+	struct caller_limits limits = http_default_limits(BODY_MAX_BYTES);
+	struct caller_limits early = http_default_limits(EARLY_BODY_MAX_BYTES);
 	struct buf addr = { 0 };
 
+	early.header_bytes = EARLY_HEADER_MAX_BYTES;
 	buf_printf(&addr, "%.*s:%u", STR_ARG(edge->settings.ip),
 		   edge->settings.peer_port);
 	edge->peers =
@@ -537,18 +548,18 @@
 		return err->code;
 	}
 	edge->callers = http_listen(edge->loop, edge->settings.caller_addr,
-				    BODY_MAX_BYTES, callers, err);
+				    &early, callers, err);
 	if (!edge->callers)
 		return err->code;
 	edge->health = http_listen(edge->loop, edge->settings.ready_addr,
-				   BODY_MAX_BYTES, health, err);
+				   &limits, health, err);
 	if (!edge->health)
 		return err->code;
 	if (!metrics_port)
 		return 0;
 	buf_printf(&addr, "%.*s:%u", STR_ARG(edge->settings.ip), metrics_port);
-	edge->metrics = http_listen(edge->loop, buf_str(&addr), BODY_MAX_BYTES,
-				    metrics, err);
+	edge->metrics =
+		http_listen(edge->loop, buf_str(&addr), &limits, metrics, err);
 	buf_free(&addr);
 	return edge->metrics ? 0 : err->code;
 }
--- a/error.c
+++ b/error.c
@@ -85,6 +85,12 @@
 	[-ERR_STOPPING] = { "stopping", 503,
 			    "ask another VM, at once; this one is being "
 			    "stopped" },
+	[-ERR_HEADERS_TOO_LARGE] = { "headers_too_large", 431,
+				     "send shorter headers; the limit is "
+				     "named" },
+	[-ERR_SLOW_REQUEST] = { "slow_request", 408,
+				"send the headers within the named time; the "
+				"request did not run" },
 };
 
 const struct error_info *error_info(int code)
--- a/error.h
+++ b/error.h
@@ -46,7 +46,9 @@
 	ERR_USAGE = -34,
 	ERR_BLOCKED = -35,
 	ERR_STOPPING = -36,
-	ERR_LAST = -36,
+	ERR_HEADERS_TOO_LARGE = -37,
+	ERR_SLOW_REQUEST = -38,
+	ERR_LAST = -38,
 };
 
 /**
--- a/http.h
+++ b/http.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include "catalog.h"
 #include "error.h"
 #include "loop.h"
 
 /**
  * DOC: HTTP server
  *
- * Runs libmicrohttpd in the event loop. The handler receives complete requests
- * and may answer them at once or later.
+ * The handler receives complete requests and may answer them at once or later.
+ * What callers may send is bounded by the limits in force alone: whatever they
+ * allow is delivered, and the rest is refused before it is. A request that was
+ * delivered gets the answer of its handler, whatever the size of either.
  */
 
 struct http_server;
@@ -15,8 +18,9 @@
 /**
  * struct http_request - a complete request that awaits its answer
  * @id: unique within the process
- * @method, @path, @body: as received
+ * @method, @body: as received
  * @uri: path and query of the request line
+ * @path: @uri without its query
  * @first_on_connection: first request on its connection
  * @remaining_ms: value of the X-Remaining-Ms header, -1 if absent
  */
@@ -43,9 +47,14 @@
 	void *ctx;
 };
 
+/** http_default_limits() - limits where no configuration states any. */
+struct caller_limits http_default_limits(size_t body_bytes);
 struct http_server *http_listen(struct loop *loop, struct str addr,
-				size_t max_body, struct http_handler handler,
-				struct error *err);
+				const struct caller_limits *limits,
+				struct http_handler handler, struct error *err);
+/** http_set_limits() - limits of requests and connections from now on. */
+void http_set_limits(struct http_server *server,
+		     const struct caller_limits *limits);
 void http_respond_json(struct http_request *req, int status, struct str body);
 /**
  * http_respond() - answer a request.
@@ -60,8 +69,8 @@
 /** http_copy_headers() - append the header lines that @keep accepts. */
 void http_copy_headers(struct http_request *req, bool (*keep)(struct str name),
 		       struct buf *out);
-/** http_set_max_body() - limit of request bodies from now on, bytes. */
-void http_set_max_body(struct http_server *server, size_t max_body);
+/** http_metrics() - append the numbers of connections and of refusals. */
+void http_metrics(const struct http_server *server, struct buf *out);
 /** http_abort() - close the connection without an answer. */
 void http_abort(struct http_request *req);
 /** http_query_param() - value of a query parameter; empty if absent. */
--- a/metric.c
+++ b/metric.c
@@ -85,16 +85,21 @@
 		   name, (unsigned long long)histogram->count);
 }
 
+void metric_counter(struct buf *out, const char *name, const char *help,
+		    uint64_t value)
+{
+	buf_printf(out,
+		   "# HELP wasabimoor_%s_total %s\n"
+		   "# TYPE wasabimoor_%s_total counter\n"
+		   "wasabimoor_%s_total %llu\n",
+		   name, help, name, name, (unsigned long long)value);
+}
+
 void metrics_text(const struct metrics *metrics, struct buf *out)
 {
 	for (int i = 0; i < METRICS; i++)
-		buf_printf(out,
-			   "# HELP wasabimoor_%s_total %s\n"
-			   "# TYPE wasabimoor_%s_total counter\n"
-			   "wasabimoor_%s_total %llu\n",
-			   metric_texts[i].name, metric_texts[i].help,
-			   metric_texts[i].name, metric_texts[i].name,
-			   (unsigned long long)metrics->counters[i]);
+		metric_counter(out, metric_texts[i].name, metric_texts[i].help,
+			       metrics->counters[i]);
 	buf_str_add(out, STR("# TYPE wasabimoor_latency_seconds histogram\n"));
 	for (int i = 0; i < LATENCY_KINDS; i++)
 		histogram_text(&metrics->latencies[i], latency_names[i], out);
--- a/metric.h
+++ b/metric.h
@@ -70,6 +70,9 @@
 			    int64_t us);
 /** metrics_text() - append all counters and histograms. */
 void metrics_text(const struct metrics *metrics, struct buf *out);
+/** metric_counter() - append one counter. */
+void metric_counter(struct buf *out, const char *name, const char *help,
+		    uint64_t value);
 /** metric_gauge() - append one gauge. */
 void metric_gauge(struct buf *out, const char *name, const char *help,
 		  uint64_t value);
--- a/os.c
+++ b/os.c
@@ -55,8 +55,10 @@
 	int one = 1;
 	int fd;
 
-	if (addr_split(addr, ip, sizeof(ip), &port))
+	if (addr_split(addr, ip, sizeof(ip), &port)) {
+		errno = EINVAL;
 		return -1;
+	}
 	*sin = (struct sockaddr_in){ .sin_family = AF_INET };
 	inet_pton(AF_INET, ip, &sin->sin_addr);
 	sin->sin_port = htons(port);
@@ -68,3 +70,22 @@
 		   sizeof(user_timeout_ms));
 	return fd;
 }
+
+int os_listen(struct str addr, unsigned int user_timeout_ms, int backlog)
+{
+	struct sockaddr_in sin;
+	int one = 1;
+	int fd = os_socket(addr, user_timeout_ms, &sin);
+	int saved;
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (!bind(fd, (struct sockaddr *)&sin, sizeof(sin)) &&
+	    !listen(fd, backlog))
+		return fd;
+	saved = errno;
+	close(fd);
+	errno = saved;
+	return -1;
+}
--- a/os.h
+++ b/os.h
@@ -37,3 +37,12 @@
  */
 int os_socket(struct str addr, unsigned int user_timeout_ms,
 	      struct sockaddr_in *sin);
+
+/**
+ * os_listen() - open a non-blocking TCP socket that listens on @addr.
+ * @user_timeout_ms: see os_socket(); accepted connections inherit it
+ * @backlog: connections that may wait to be accepted
+ *
+ * Return: the descriptor, or -1 with errno set.
+ */
+int os_listen(struct str addr, unsigned int user_timeout_ms, int backlog);
--- a/peer.c
+++ b/peer.c
@@ -396,18 +396,11 @@
 			   struct error *err)
 {
 	struct peers *peers = xcalloc(1, sizeof(*peers));
-	struct sockaddr_in sin;
-	int one = 1;
 
-	peers->fd = os_socket(addr, STALL_TIMEOUT_US / 1000, &sin);
-	setsockopt(peers->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (peers->fd < 0 ||
-	    bind(peers->fd, (struct sockaddr *)&sin, sizeof(sin)) ||
-	    listen(peers->fd, LISTEN_BACKLOG)) {
+	peers->fd = os_listen(addr, STALL_TIMEOUT_US / 1000, LISTEN_BACKLOG);
+	if (peers->fd < 0) {
 		error_set(err, ERR_IO, "cannot listen on %.*s: %s",
 			  STR_ARG(addr), strerror(errno));
-		if (peers->fd >= 0)
-			close(peers->fd);
 		free(peers);
 		return NULL;
 	}
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -3,7 +3,7 @@
 set -e
 packages="gcc make ninja-build meson pkg-config python3 git
 libapr1-dev libaprutil1-dev libprotobuf-c-dev protobuf-c-compiler
-libmicrohttpd-dev libhttp-parser-dev libcurl4-openssl-dev libargtable2-dev liblog4c-dev check
+libhttp-parser-dev libcurl4-openssl-dev libargtable2-dev liblog4c-dev check
 libjansson-dev libxxhash-dev zlib1g-dev librandom123-dev clang clang-format clang-tidy
 cppcheck codespell scdoc gnuplot-nox libclang-rt-14-dev"
 missing=
--- a/serve.c
+++ b/serve.c
@@ -272,13 +272,13 @@
 			       : STR("{\"state\":\"not ready\"}"));
 }
 
-/** struct route - a path of the callers' HTTP interface */
-struct route {
+/** struct caller_path - a path of the callers' HTTP interface */
+struct caller_path {
 	const char *path;
 	enum event_type type;
 };
 
-static const struct route routes[] = {
+static const struct caller_path caller_paths[] = {
 	{ "/v1/questions", EV_QUESTION },
 	{ "/v1/tickets", EV_TICKET },
 	{ "/v1/entries", EV_ENTRY },
@@ -293,15 +293,16 @@
 		reply_health(s, req);
 		return;
 	}
-	for (size_t i = 0; i < sizeof(routes) / sizeof(*routes); i++) {
-		if (!str_eq(req->path, str_of(routes[i].path)))
+	for (size_t i = 0; i < sizeof(caller_paths) / sizeof(*caller_paths);
+	     i++) {
+		if (!str_eq(req->path, str_of(caller_paths[i].path)))
 			continue;
 		if (!str_eq(req->method, STR("POST"))) {
 			reply_error(req, ERR_BAD_REQUEST, "use POST");
 			return;
 		}
 		apr_hash_set(s->requests, &req->id, sizeof(req->id), req);
-		dispatch(s, (struct event){ .type = routes[i].type,
+		dispatch(s, (struct event){ .type = caller_paths[i].type,
 					    .id = req->id,
 					    .body = req->body });
 		return;
@@ -377,6 +378,7 @@
 static int listen_all(struct server *s, uint64_t incarnation, struct error *err)
 {
 	const struct config *config = s->config;
+	struct caller_limits limits = http_default_limits(REQUEST_BODY_MAX);
 
 	s->peers = peers_create(s->loop, config->peer, incarnation,
 				(struct peer_handler){ on_frame, on_peer_lost,
@@ -385,13 +387,13 @@
 	if (!s->peers)
 		return err->code;
 	s->callers = http_listen(
-		s->loop, config->callers, REQUEST_BODY_MAX,
+		s->loop, config->callers, &limits,
 		(struct http_handler){ on_caller_request, on_caller_gone, s },
 		err);
 	if (!s->callers)
 		return err->code;
 	s->operators = http_listen(
-		s->loop, config->operators, REQUEST_BODY_MAX,
+		s->loop, config->operators, &limits,
 		(struct http_handler){ on_operator_request, NULL, s }, err);
 	return s->operators ? 0 : err->code;
 }
--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -163,6 +163,7 @@
         self.port = 0
         self.born = int(time.time() * 1000)
         self.on_crash = None  # called when a request crashes the target
+        self.reply_headers = {}  # besides those that every reply has
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1",
@@ -202,7 +203,8 @@
         out = body or b"".join(parts)
         return response(200, {"Request-Id": request_id,
                               "Response-Stamp": f"{self.id}.{request_id}",
-                              "Server-Load": "1,0,2"}, out)
+                              "Server-Load": "1,0,2",
+                              **self.reply_headers}, out)
 
     async def serve(self, reader, writer):
         try:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -79,6 +79,8 @@
         self.version, self.shard_prefix = 1, "s"
         self.stopping = False
         self.timed_out, self.requests, self.stdout = 0, {}, None
+        self.limits = {"max_header_bytes": 16384, "max_body_bytes": 262144,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
         self.fault_at = [0.0] * args.nodes
         self.store_fault_at, self.tasks, self.conns = 0.0, set(), {}
 
@@ -130,8 +132,7 @@
                     for n in shards + ["single"]]
         self.store.put("op/config", {
             "version": self.version, "routes": routes, "services": services,
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
-                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+            "limits": self.limits})
 
     # Nodes.
 
@@ -197,15 +198,17 @@
         return await asyncio.wait_for(asyncio.open_connection(
             self.ip(node), self.args.port + 11), 1.0)
 
-    async def send_request(self, node, kind, request_id, path=None):
-        """Send one request; (status, headers, body)."""
+    async def send_request(self, node, kind, request_id, path=None,
+                           headers=""):
+        """Send one request with further header lines; (status, headers,
+        body)."""
         self.record_request(node, kind, request_id)
         reader, writer = await self.open_conn(node)
         body = b"x" * 40 if kind == "once" else b""
         method = "POST" if kind == "once" else "GET"
         head = (f"{method} {ROUTES[kind]}{path or request_id} HTTP/1.1\r\n"
                 f"Host: h.example\r\nRequest-Id: {request_id}\r\n"
-                f"Request-Deadline: {TIMEOUT_MS}\r\n"
+                f"Request-Deadline: {TIMEOUT_MS}\r\n{headers}"
                 f"Content-Length: {len(body)}\r\n\r\n")
         try:
             writer.write(head.encode() + body)
--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -116,6 +116,7 @@
 static void on_request(void *ctx, struct http_request *req)
 {
 	struct platform *platform = ctx;
+	struct buf path = { 0 };
 	struct buf out = { 0 };
 
 	for (int kind = 0; kind < DOC_KINDS; kind++) {
@@ -123,17 +124,22 @@
 
 		if (str_eq(req->path, STR("/lists")) && kind == DOC_LISTS) {
 			serve_doc(platform, req, DOC_LISTS);
+			buf_free(&path);
 			return;
 		}
 		if (str_eq(req->path, STR("/fleet")) && kind == DOC_FLEET) {
 			serve_doc(platform, req, DOC_FLEET);
+			buf_free(&path);
 			return;
 		}
-		if (req->path.len > 9 && !strcmp(req->path.ptr + 9, name)) {
+		buf_printf(&path, "/publish/%s", name);
+		if (str_eq(req->path, buf_str(&path))) {
 			publish(platform, (enum doc_kind)kind, req->body);
 			reply_to_waiters(platform, (enum doc_kind)kind);
 		}
+		path.len = 0;
 	}
+	buf_free(&path);
 	if (str_eq(req->path, STR("/set")))
 		set_behaviour(platform, req);
 	buf_printf(&out, "{\"calls\":%llu}",
@@ -172,6 +178,7 @@
 int main(int argc, char **argv)
 {
 	struct platform *platform = xcalloc(1, sizeof(*platform));
+	struct caller_limits limits = http_default_limits(BODY_MAX);
 	struct error err = { 0 };
 
 	if (argc != 4) {
@@ -184,7 +191,7 @@
 		      &err) ||
 	    file_read(argv[3], DOC_MAX_BYTES, &platform->current[DOC_FLEET],
 		      &err) ||
-	    !http_listen(platform->loop, str_of(argv[1]), BODY_MAX,
+	    !http_listen(platform->loop, str_of(argv[1]), &limits,
 			 (struct http_handler){ on_request, on_disconnect,
 						platform },
 			 &err)) {
--- a/tests/fake_targets.c
+++ b/tests/fake_targets.c
@@ -548,6 +548,7 @@
 static int open_targets(struct host *host, const struct options *options,
 			struct error *err)
 {
+	struct caller_limits limits = http_default_limits(BODY_MAX);
 	size_t count = host->fleet->ntargets;
 
 	host->targets = xcalloc(count, sizeof(struct target));
@@ -559,7 +560,7 @@
 		target->options = *options;
 		target->boot = rng_next(&host->rng);
 		target->server =
-			http_listen(host->loop, target->config->addr, BODY_MAX,
+			http_listen(host->loop, target->config->addr, &limits,
 				    (struct http_handler){
 					    on_request, on_disconnect, target },
 				    err);
@@ -574,6 +575,7 @@
 	struct host *host = xcalloc(1, sizeof(*host));
 	struct error err = { 0 };
 	struct buf body = { 0 };
+	struct caller_limits limits = http_default_limits(BODY_MAX);
 	struct options options;
 
 	if (argc < 3) {
@@ -591,7 +593,7 @@
 	if (!file_read(argv[2], DOC_MAX_BYTES, &body, &err))
 		host->fleet = fleet_parse(buf_str(&body), &err);
 	if (!host->fleet || open_targets(host, &options, &err) ||
-	    !http_listen(host->loop, str_of(argv[1]), BODY_MAX,
+	    !http_listen(host->loop, str_of(argv[1]), &limits,
 			 (struct http_handler){ on_control, NULL, host },
 			 &err)) {
 		fprintf(stderr, "fake-targets: %s\n", err.text);
--- a/tests/run.py
+++ b/tests/run.py
@@ -21,6 +21,7 @@
 NAME_FILTER = sys.argv[2] if len(sys.argv) > 2 else ""
 
 import process  # noqa: E402  (needs BUILD)
+import tier_limits  # noqa: E402  (needs BUILD)
 import tier_process  # noqa: E402  (needs BUILD)
 
 FUZZ_SEEDS = "24"
@@ -108,7 +109,7 @@
                  "check-load", "check-budget", "check-start", "check-stop",
                  "check-stop-serve", "check-poison", "check-deadly",
                  "check-deadly-serve", "check-parts", "check-platform",
-                 "check-config", "check-upstream", "check-peer"):
+                 "check-config", "check-http", "check-upstream", "check-peer"):
         yield name, lambda n=name: run_check(n)
     yield "fuzz", lambda: run_program(
         "fuzz", f"{BUILD}/tests/fuzz", "1", FUZZ_SEEDS)
@@ -134,7 +135,8 @@
     yield "soak stops", lambda: run_program(
         "soak stops", sys.executable, "soak/soak.py",
         f"{BUILD}/wasabimoor", *SOAK_SEEDS, *STOPS_SOAK)
-    for i, test in enumerate(process.TESTS + tier_process.TESTS):
+    for i, test in enumerate(process.TESTS + tier_process.TESTS +
+                             tier_limits.TESTS):
         yield test.__name__, lambda t=test, b=(
             FIRST_PORT + PORTS_PER_TEST * i): run_process(t, b)
 
