Log what a node read, missed and took of the store's changes

A node's log ended with its start.

Lines added: "all keys read" at the end of a scan, "changes missing" and "changes taken" where a node asks another for what it lacks, each with the store's revision. The case with them, seconds and revisions:

node 4 (other zone) 22.219 target gone i-order2 at 89 node 0 (restarted) 22.528 all keys read at 89 node 1 (at 88) 22.738 changes missing, next begin at 89 node 1 22.738 changes taken, now at 93

No change of logic.

--- a/reader.c
+++ b/reader.c
@@ -162,6 +162,9 @@
 		 * are read again.
 		 */
 		directory_end_scan(reader->dir, reader->scan_revision, now);
+		decision_log_state(reader->dir->decision_log, now,
+				   "all keys read", STR("store"),
+				   "a scan has ended", reader->scan_revision);
 		reader->need_scan = false;
 		reader->complete = true;
 		reader->state = READER_IDLE;
--- a/relay.c
+++ b/relay.c
@@ -286,6 +286,8 @@
 	apr_pool_destroy(pool);
 	/* Changes between the two revisions are missing: request them. */
 	if (msg->key > dir->revision) {
+		decision_log_state(dir->decision_log, now, "changes missing",
+				   from, "its next ones begin later", msg->key);
 		send_msg(relay, from, MSG_ITEMS_GET, 0, (struct str){ 0 },
 			 false, now);
 		return;
@@ -294,6 +296,9 @@
 		return;
 	newer = msg->version > dir->revision ||
 		now - msg->fresh_us > dir->read_at + RELAY_MIN_US;
+	if (!msg->state)
+		decision_log_state(dir->decision_log, now, "changes taken",
+				   from, "it had newer ones", msg->version);
 	dir->revision = msg->version;
 	dir->synced = true;
 	if (now - msg->fresh_us > dir->read_at)
