A node that lacks removals is told all keys, and counts no further

Cause: a table read anew holds no removals. The restarted reader scanned the store at revision 89, after the removal, and passed on its next changes as those since 89; a node at 88 asked it for the rest and got "all changes since 88" out of that table, without the removal at 89. It then counted as up to date to 93, so that no later change would name the key.

Ruled out: the removal lost on its way (it was never sent), the balancer using an unpublished target.

Change: a replica knows since when it holds each removal (history_start: the revision of its last scan, or of the newest tombstone that it dropped). What reaches back further than that is sent as all keys, and who takes these deletes what isn't among them and has history no longer than the sender's. It counts as up to date only for a list that begins at or before its own revision. The same place held four more ways to keep a removed key, found by the fuzzer once the first was mended: keys that a lagging node sends during a scan counted as seen by it; replies of the store and lists of nodes older than the replica were applied up to its revision; an old tombstone in a list of all keys spoke for the key's newer value; and the first changes after a start went to no one, yet counted as sent. All keys of the table are concerned, evacuations too.

In serve the documents travel whole with a version; nothing can be missing between two of them, looked up in doc_sync.c and left.

Why it holds: by induction a replica at revision R lacks nothing up to R; the only sources that skip removals, scans and lists of all keys, now delete what they don't name.

--- a/balancer.c
+++ b/balancer.c
@@ -245,6 +245,11 @@
 	}
 }
 
+bool balancer_is_out(const struct balancer *balancer, uint64_t domain_key)
+{
+	return apr_hash_get(balancer->out, &domain_key, sizeof(domain_key));
+}
+
 void balancer_on_store_lost(struct balancer *balancer, int64_t now)
 {
 	if (now > balancer->store_lost_at)
@@ -321,8 +326,7 @@
 	const struct service_targets *service_targets =
 		service_targets_find(balancer, target->service);
 
-	if (apr_hash_get(balancer->out, &target->domain_key,
-			 sizeof(target->domain_key)))
+	if (balancer_is_out(balancer, target->domain_key))
 		return AVAIL_DOMAIN_OUT;
 	if (now < target->entry_ignored_until)
 		return AVAIL_LEAVING;
--- a/balancer.h
+++ b/balancer.h
@@ -58,6 +58,8 @@
 /** balancer_set_domain() - take a failure domain out of use, or back in. */
 void balancer_set_domain(struct balancer *balancer, struct str domain,
 			 bool out);
+/** balancer_is_out() - whether a failure domain is out of use. */
+bool balancer_is_out(const struct balancer *balancer, uint64_t domain_key);
 /** balancer_on_store_lost() - entries of live targets may lapse from now on. */
 void balancer_on_store_lost(struct balancer *balancer, int64_t now);
 /** balancer_store_lost_at() - time of the last balancer_on_store_lost(). */
--- a/directory.c
+++ b/directory.c
@@ -14,7 +14,7 @@
 	FAR_CONNS_MIN = 1,
 	/*
 	 * Tombstones keep a lagging node's older items from restoring a deleted
-	 * key. Nodes that lag by more than this read all keys again.
+	 * key. Nodes that lag by more than this are sent all keys.
 	 */
 	TOMBSTONE_TTL_US = 60000000,
 };
@@ -55,10 +55,15 @@
 	catalog_unref(dir->catalog);
 }
 
+static struct cached_key *cached_key_find(const struct directory *dir,
+					  struct str key)
+{
+	return apr_hash_get(dir->keys, key.ptr, (apr_ssize_t)key.len);
+}
+
 static struct cached_key *cached_key_get(struct directory *dir, struct str key)
 {
-	struct cached_key *cached =
-		apr_hash_get(dir->keys, key.ptr, (apr_ssize_t)key.len);
+	struct cached_key *cached = cached_key_find(dir, key);
 
 	if (cached)
 		return cached;
@@ -118,14 +123,16 @@
 	}
 }
 
-void directory_encode(const struct directory *dir, uint64_t since,
-		      struct buf *out)
+uint64_t directory_encode(const struct directory *dir, uint64_t since,
+			  struct buf *out)
 {
 	struct store_item *items =
 		xcalloc(apr_hash_count(dir->keys) + 1, sizeof(*items));
 	apr_hash_index_t *it;
 	size_t count = 0;
 
+	if (since < dir->history_start)
+		since = 0;
 	for (it = apr_hash_first(NULL, dir->keys); it; it = apr_hash_next(it)) {
 		const struct cached_key *cached = hash_value(it);
 
@@ -140,6 +147,7 @@
 	}
 	payload_encode_items(items, count, out);
 	free(items);
+	return since;
 }
 
 static void apply_catalog(struct directory *dir, struct catalog *catalog,
@@ -239,57 +247,120 @@
 	apr_pool_destroy(pool);
 }
 
-static void apply_item(struct directory *dir, const struct store_item *item,
-		       int64_t now)
+/*
+ * A source that is older than this replica, such as a node that was cut off or
+ * a reply that was under way, still holds keys that were deleted meanwhile. A
+ * replica that got all keys may have no tombstones of these; if they were
+ * applied, requests would go to their targets for good. Nothing is lost: what
+ * such a source knows up to this replica's revision is known here.
+ */
+static bool is_outdated(const struct directory *dir,
+			const struct store_item *item, uint64_t as_of)
+{
+	return as_of < dir->revision && item->revision <= dir->revision;
+}
+
+/*
+ * @as_of: revision of the source
+ * Return: the key as it is now, or NULL if it is not held.
+ */
+static struct cached_key *apply_item(struct directory *dir,
+				     const struct store_item *item,
+				     uint64_t as_of, int64_t now)
 {
 	struct cached_key *cached;
 
 	if (dir->dialect->kind(item->key) == STORE_RECORD_NONE)
-		return;
+		return NULL;
+	if (is_outdated(dir, item, as_of))
+		return cached_key_find(dir, item->key);
 	cached = cached_key_get(dir, item->key);
-	cached->scan = dir->scan;
 	if (item->revision <= cached->revision)
-		return;
+		return cached;
 	cached->revision = item->revision;
 	if (item->deleted) {
 		if (!cached->deleted)
 			apply_deletion(dir, cached, now);
 		cached->deleted = true;
 		cached->deleted_at = now;
-		return;
+		return cached;
 	}
 	cached->deleted = false;
 	str_free(cached->value);
 	cached->value = str_heap_dup(item->value);
 	apply_record(dir, cached, now);
+	return cached;
 }
 
-void directory_apply(struct directory *dir, const struct store_item *items,
-		     size_t count, int64_t now)
+void directory_apply(struct directory *dir, const struct store_reply *reply,
+		     int64_t now)
 {
-	for (size_t i = 0; i < count; i++)
-		apply_item(dir, &items[i], now);
+	for (size_t i = 0; i < reply->count; i++)
+		apply_item(dir, &reply->items[i], reply->revision, now);
+	if (reply->revision > dir->revision)
+		dir->revision = reply->revision;
 }
 
-/*
- * A node that has just scanned the store has no tombstones for earlier
- * deletions. A node that was cut off from the store still sends such keys; if
- * they were applied, requests would go to their targets until the next scan.
- */
-static bool is_deleted(const struct directory *dir,
-		       const struct store_item *item)
+/* Deletes the keys that were missing among all keys at @revision. */
+static void delete_missing(struct directory *dir,
+			   bool (*is_present)(const struct directory *dir,
+					      const struct cached_key *cached),
+			   uint64_t revision, int64_t now)
+{
+	apr_hash_index_t *it;
+
+	for (it = apr_hash_first(NULL, dir->keys); it; it = apr_hash_next(it)) {
+		struct cached_key *cached = hash_value(it);
+
+		if (cached->deleted || cached->revision > revision ||
+		    is_present(dir, cached))
+			continue;
+		apply_deletion(dir, cached, now);
+		cached->deleted = true;
+		cached->deleted_at = now;
+		cached->revision = revision;
+	}
+}
+
+static bool in_list(const struct directory *dir,
+		    const struct cached_key *cached)
+{
+	return cached->list == dir->list;
+}
+
+static void merge_items(struct directory *dir, const struct key_list *list,
+			int64_t now)
 {
-	return item->revision <= dir->revision &&
-	       !apr_hash_get(dir->keys, item->key.ptr,
-			     (apr_ssize_t)item->key.len);
+	dir->list++;
+	for (size_t i = 0; i < list->count; i++) {
+		struct cached_key *cached =
+			apply_item(dir, &list->items[i], list->revision, now);
+
+		/* An old tombstone does not speak for the key's newer value. */
+		if (cached && !list->items[i].deleted)
+			cached->list = dir->list;
+	}
 }
 
-void directory_merge(struct directory *dir, const struct store_item *items,
-		     size_t count, int64_t now)
+/*
+ * A node that scanned the store after a key was deleted has no tombstone of it.
+ * It once passed on such a table as changes, and the nodes that took it went on
+ * to use the deleted target for good, as no later change would name it. So a
+ * table that does not reach back to this replica's revision comes whole, and
+ * what is not in it is deleted here too.
+ */
+bool directory_merge(struct directory *dir, const struct key_list *list,
+		     int64_t now)
 {
-	for (size_t i = 0; i < count; i++)
-		if (!is_deleted(dir, &items[i]))
-			apply_item(dir, &items[i], now);
+	merge_items(dir, list, now);
+	if (list->since > dir->revision || list->revision < dir->revision)
+		return false;
+	if (!list->since)
+		delete_missing(dir, in_list, list->revision, now);
+	if (dir->revision < list->history_start)
+		dir->history_start = list->history_start;
+	dir->revision = list->revision;
+	return true;
 }
 
 static struct cached_key *find_expired_tombstone(struct directory *dir,
@@ -314,6 +385,8 @@
 	while ((expired = find_expired_tombstone(dir, now))) {
 		apr_hash_set(dir->keys, expired->key.ptr,
 			     (apr_ssize_t)expired->key.len, NULL);
+		if (dir->history_start < expired->revision)
+			dir->history_start = expired->revision;
 		str_free(expired->key);
 		str_free(expired->value);
 		free(expired);
@@ -325,21 +398,30 @@
 	dir->scan++;
 }
 
-void directory_end_scan(struct directory *dir, uint64_t revision, int64_t now)
+static bool in_scan(const struct directory *dir,
+		    const struct cached_key *cached)
 {
-	apr_hash_index_t *it;
+	return cached->scan == dir->scan;
+}
 
-	for (it = apr_hash_first(NULL, dir->keys); it; it = apr_hash_next(it)) {
-		struct cached_key *cached = hash_value(it);
+/* Keys that other nodes send meanwhile are not marked: they may be deleted. */
+void directory_apply_page(struct directory *dir, const struct store_reply *page,
+			  int64_t now)
+{
+	for (size_t i = 0; i < page->count; i++) {
+		struct cached_key *cached =
+			apply_item(dir, &page->items[i], page->revision, now);
 
-		if (cached->deleted || cached->scan == dir->scan ||
-		    cached->revision > revision)
-			continue;
-		apply_deletion(dir, cached, now);
-		cached->deleted = true;
-		cached->deleted_at = now;
-		cached->revision = revision;
+		if (cached)
+			cached->scan = dir->scan;
 	}
-	if (revision > dir->revision)
-		dir->revision = revision;
+}
+
+void directory_end_scan(struct directory *dir, uint64_t revision, int64_t now)
+{
+	delete_missing(dir, in_scan, revision, now);
+	if (revision <= dir->revision)
+		return;
+	dir->history_start = revision;
+	dir->revision = revision;
 }
--- a/directory.h
+++ b/directory.h
@@ -10,6 +10,10 @@
  * Holds the keys that this program uses, each with the revision of its last
  * change. Changes may therefore arrive from the store or from other nodes and
  * in any order. A key never goes back to an older revision.
+ *
+ * A list of keys that exist says nothing of those that were deleted before it
+ * was made, so a replica also knows since when it holds each deletion. A node
+ * that is behind by more than that gets all keys, and deletes the others.
  */
 
 /**
@@ -21,9 +25,12 @@
  * @seen_revision, @seen_bytes: revision and size of the last configuration
  *                              read, whether or not it was accepted
  * @revision: store revision up to which this replica is complete
+ * @history_start: deletions after this revision are all held as tombstones, up
+ *                 to @revision
  * @read_at: time of the newest reading of the store, by this node or another
  * @synced: other nodes have sent all keys up to @revision
  * @scan: number of the current scan of all keys
+ * @list: number of the last list of all keys from another node
  * @cold_factor, @cold_extra: see struct vm_settings
  * @nodes: nodes that share the targets' limits
  * @near_nodes: those of them in this failure domain; 0 while the membership
@@ -40,9 +47,11 @@
 	uint64_t seen_revision;
 	size_t seen_bytes;
 	uint64_t revision;
+	uint64_t history_start;
 	int64_t read_at;
 	bool synced;
 	uint64_t scan;
+	uint64_t list;
 	double cold_factor;
 	int cold_extra;
 	int nodes;
@@ -57,25 +66,46 @@
 	bool deleted;
 	int64_t deleted_at;
 	uint64_t scan; /* last scan of all keys that returned it */
+	uint64_t list; /* last list of all keys that contained it */
+};
+
+/**
+ * struct key_list - keys that a node passes on
+ * @since: the list holds all changes after this revision, deletions included;
+ *         0: it holds all keys, and those that are not in it do not exist
+ * @revision: revision up to which it is complete
+ * @history_start: that of the replica it was made from
+ */
+struct key_list {
+	uint64_t since;
+	uint64_t revision;
+	uint64_t history_start;
+	struct store_item *items;
+	size_t count;
 };
 
 void directory_init(struct directory *dir, apr_pool_t *pool,
 		    const struct dialect *dialect, struct balancer *balancer,
 		    struct decision_log *decision_log);
 void directory_destroy(struct directory *dir);
-/** directory_apply() - apply the items that are newer than the replica's. */
-void directory_apply(struct directory *dir, const struct store_item *items,
-		     size_t count, int64_t now);
+/** directory_apply() - apply the store's changes since @revision. */
+void directory_apply(struct directory *dir, const struct store_reply *reply,
+		     int64_t now);
 /**
- * directory_merge() - apply items from another node's replica.
+ * directory_merge() - apply a list from another node's replica.
+ *
+ * The other node may lag behind.
  *
- * The other node may lag behind. An item that this replica would hold at its
- * revision, but does not, was deleted in the meantime and is skipped.
+ * Return: whether this replica is then complete up to the list's revision;
+ * otherwise changes before the list are missing, or the list is older.
  */
-void directory_merge(struct directory *dir, const struct store_item *items,
-		     size_t count, int64_t now);
-/** directory_begin_scan() - start a scan of all keys. */
+bool directory_merge(struct directory *dir, const struct key_list *list,
+		     int64_t now);
+/** directory_begin_scan() - start a scan of all keys of the store. */
 void directory_begin_scan(struct directory *dir);
+/** directory_apply_page() - apply a part of the current scan. */
+void directory_apply_page(struct directory *dir, const struct store_reply *page,
+			  int64_t now);
 /** directory_end_scan() - delete the keys that the scan did not return. */
 void directory_end_scan(struct directory *dir, uint64_t revision, int64_t now);
 /** directory_set_nodes() - recompute this node's shares of targets' limits. */
@@ -91,6 +121,11 @@
 					int far_nodes);
 /** directory_sweep() - remove expired tombstones. */
 void directory_sweep(struct directory *dir, int64_t now);
-/** directory_encode() - append all changes after revision @since. */
-void directory_encode(const struct directory *dir, uint64_t since,
-		      struct buf *out);
+/**
+ * directory_encode() - append the changes after revision @since, or all keys if
+ * the deletions since then are not all held.
+ *
+ * Return: @since, or 0 for all keys.
+ */
+uint64_t directory_encode(const struct directory *dir, uint64_t since,
+			  struct buf *out);
--- a/reader.c
+++ b/reader.c
@@ -151,7 +151,7 @@
 
 	if (!reader->scan_revision)
 		reader->scan_revision = page->revision;
-	directory_apply(reader->dir, page->items, page->count, now);
+	directory_apply_page(reader->dir, page, now);
 	reader->after.len = 0;
 	if (page->more && page->count) {
 		buf_str_add(&reader->after, page->items[page->count - 1].key);
@@ -162,6 +162,7 @@
 		 * are read again.
 		 */
 		directory_end_scan(reader->dir, reader->scan_revision, now);
+		reader->dir->decision_log->revision = reader->dir->revision;
 		decision_log_state(reader->dir->decision_log, now,
 				   "all keys read", STR("store"),
 				   "a scan has ended", reader->scan_revision);
@@ -216,10 +217,7 @@
 		apply_page(reader, reply->reply, now);
 		return;
 	}
-	directory_apply(reader->dir, reply->reply->items, reply->reply->count,
-			now);
-	if (reply->reply->revision > reader->dir->revision)
-		reader->dir->revision = reply->reply->revision;
+	directory_apply(reader->dir, reply->reply, now);
 	reader->dir->decision_log->revision = reader->dir->revision;
 	reader->state = READER_IDLE;
 	reader->next_at = now + (reply->reply->count ? WATCH_COALESCE_US : 0);
--- a/relay.c
+++ b/relay.c
@@ -90,32 +90,55 @@
 	       now - relay->dir->read_at >= STALE_US;
 }
 
-static void send_msg(struct relay *relay, struct str addr, uint32_t kind,
-		     uint64_t since, struct str body, bool relay_further,
-		     int64_t now)
+/** struct packed_list - a struct key_list as a message body */
+struct packed_list {
+	uint64_t since;
+	uint64_t history_start;
+	struct str body;
+};
+
+static struct flow_effect *send_msg(struct relay *relay, struct str addr,
+				    uint32_t kind, int64_t now)
 {
 	struct flow_effect *fx = flow_add(relay->fx, FLOW_PEER_SEND);
 	int64_t lost = now - balancer_store_lost_at(relay->dir->balancer);
 
 	fx->addr = str_dup(relay->fx->pool, addr);
 	fx->msg.kind = kind;
-	fx->msg.state = relay_further;
-	fx->msg.key = since;
 	fx->msg.version = relay->dir->revision;
 	fx->msg.fresh_us = now - relay->dir->read_at;
 	fx->msg.wait_us = lost < STORE_LOST_REPORT_US ? lost + 1 : 0;
-	fx->msg.body = body;
+	return fx;
 }
 
-static struct str pack_items(struct relay *relay, uint64_t since)
+static void send_request(struct relay *relay, struct str addr, int64_t now)
 {
+	send_msg(relay, addr, MSG_ITEMS_GET, now);
+}
+
+/* @relay_further: the receiver passes it on to its children in the tree */
+static void send_list(struct relay *relay, struct str addr,
+		      const struct packed_list *list, bool relay_further,
+		      int64_t now)
+{
+	struct flow_effect *fx = send_msg(relay, addr, MSG_ITEMS, now);
+
+	fx->msg.state = relay_further;
+	fx->msg.key = list->since;
+	fx->msg.version2 = list->history_start;
+	fx->msg.body = list->body;
+}
+
+static struct packed_list pack_list(struct relay *relay, uint64_t since)
+{
+	struct packed_list list = { .history_start =
+					    relay->dir->history_start };
 	struct buf items = { 0 };
-	struct str body;
 
-	directory_encode(relay->dir, since, &items);
-	body = str_dup(relay->fx->pool, buf_str(&items));
+	list.since = directory_encode(relay->dir, since, &items);
+	list.body = str_dup(relay->fx->pool, buf_str(&items));
 	buf_free(&items);
-	return body;
+	return list;
 }
 
 /*
@@ -161,8 +184,7 @@
 	    now < fallback_start_at(relay))
 		return;
 	relay->requested_at = now;
-	send_msg(relay, source->addr, MSG_ITEMS_GET, 0, (struct str){ 0 },
-		 false, now);
+	send_request(relay, source->addr, now);
 }
 
 void relay_tick(struct relay *relay, int64_t now)
@@ -230,17 +252,14 @@
 	return count;
 }
 
-/*
- * Each node sends the items to its children in the tree, so that no link
- * carries them for a whole domain: a hundred new targets are 30 kB per node,
- * which kept a link of 200 Mbit/s busy for a third of a question's goal.
- */
-static void relay_items(struct relay *relay, uint64_t since, struct str body,
-			int64_t now)
+/* Return: number of nodes in @children, which has TREE_FANOUT items. */
+static size_t list_children(const struct relay *relay, int64_t now,
+			    struct member_info **children)
 {
 	struct tree_node tree[TREE_NODES_MAX];
 	size_t count = list_tree(relay, now, tree);
 	size_t self_index = 0;
+	size_t found = 0;
 
 	while (self_index < count && tree[self_index].member)
 		self_index++;
@@ -248,76 +267,126 @@
 		size_t child = self_index * TREE_FANOUT + i;
 
 		if (child < count && tree[child].member)
-			send_msg(relay, tree[child].member->addr, MSG_ITEMS,
-				 since, body, true, now);
+			children[found++] = tree[child].member;
 	}
+	return found;
+}
+
+/*
+ * Each node sends the items to its children in the tree, so that no link
+ * carries them for a whole domain: a hundred new targets are 30 kB per node,
+ * which kept a link of 200 Mbit/s busy for a third of a question's goal.
+ */
+static void send_to_children(struct relay *relay, struct member_info **children,
+			     size_t count, const struct packed_list *list,
+			     int64_t now)
+{
+	for (size_t i = 0; i < count; i++)
+		send_list(relay, children[i]->addr, list, true, now);
 }
 
 void relay_on_read(struct relay *relay, int64_t now)
 {
+	struct member_info *children[TREE_FANOUT];
+	struct packed_list list;
+	size_t count;
+
 	if (!relay->dir->revision ||
 	    !gossip_is_store_reader(relay->gossip, now))
 		return;
-	relay_items(relay, relay->relayed_revision,
-		    pack_items(relay, relay->relayed_revision), now);
+	count = list_children(relay, now, children);
+	if (!count)
+		return;
+	list = pack_list(relay, relay->relayed_revision);
+	send_to_children(relay, children, count, &list, now);
 	relay->relayed_revision = relay->dir->revision;
 }
 
-void relay_on_items(struct relay *relay, struct str from, const struct msg *msg,
-		    int64_t now)
+/* Return: false if the message cannot be decoded. */
+static bool unpack_list(struct relay *relay, struct str from,
+			const struct msg *msg, apr_pool_t *pool,
+			struct key_list *list, int64_t now)
+{
+	*list = (struct key_list){ .since = msg->key,
+				   .revision = msg->version,
+				   .history_start = msg->version2 };
+	if (!payload_decode_items(msg->body, pool, &list->items, &list->count))
+		return true;
+	decision_log_state(relay->dir->decision_log, now, "unusable", from,
+			   "its message cannot be decoded", msg->version);
+	return false;
+}
+
+static void log_list(struct relay *relay, struct str from,
+		     const struct key_list *list, int64_t now)
 {
 	struct directory *dir = relay->dir;
-	struct store_item *items;
-	apr_pool_t *pool;
-	size_t count;
-	bool newer;
-
-	apr_pool_create(&pool, dir->pool);
-	if (payload_decode_items(msg->body, pool, &items, &count)) {
-		decision_log_state(dir->decision_log, now, "unusable", from,
-				   "its message cannot be decoded",
-				   msg->version);
-		apr_pool_destroy(pool);
-		return;
-	}
-	if (msg->wait_us)
-		balancer_on_store_lost(dir->balancer, now - msg->wait_us);
-	directory_merge(dir, items, count, now);
-	apr_pool_destroy(pool);
-	/* Changes between the two revisions are missing: request them. */
-	if (msg->key > dir->revision) {
+
+	if (list->since > dir->revision)
 		decision_log_state(dir->decision_log, now, "changes missing",
-				   from, "its next ones begin later", msg->key);
-		send_msg(relay, from, MSG_ITEMS_GET, 0, (struct str){ 0 },
-			 false, now);
-		return;
-	}
-	if (msg->version < dir->revision)
+				   from, "its next ones begin later",
+				   list->since);
+	else if (!list->since && list->revision >= dir->revision)
+		decision_log_state(dir->decision_log, now, "all keys taken",
+				   from, "it does not hold all deletions",
+				   list->revision);
+}
+
+static void merge_list(struct relay *relay, struct str from,
+		       const struct msg *msg, const struct key_list *list,
+		       int64_t now)
+{
+	struct directory *dir = relay->dir;
+	struct member_info *children[TREE_FANOUT];
+	struct packed_list packed = { list->since, list->history_start, { 0 } };
+	int64_t read_at = now - msg->fresh_us;
+	bool newer = list->revision > dir->revision ||
+		     read_at > dir->read_at + RELAY_MIN_US;
+
+	log_list(relay, from, list, now);
+	/* Changes between the two revisions are missing: request them. */
+	if (list->since > dir->revision)
+		send_request(relay, from, now);
+	if (!directory_merge(dir, list, now))
 		return;
-	newer = msg->version > dir->revision ||
-		now - msg->fresh_us > dir->read_at + RELAY_MIN_US;
-	if (!msg->state)
-		decision_log_state(dir->decision_log, now, "changes taken",
-				   from, "it had newer ones", msg->version);
-	dir->revision = msg->version;
 	dir->synced = true;
-	if (now - msg->fresh_us > dir->read_at)
-		dir->read_at = now - msg->fresh_us;
+	if (read_at > dir->read_at)
+		dir->read_at = read_at;
 	dir->decision_log->revision = dir->revision;
 	dir->decision_log->read_at = dir->read_at;
 	/* A reply to this node's own request is not relayed. */
-	if (newer && msg->state)
-		relay_items(relay, msg->key,
-			    str_dup(relay->fx->pool, msg->body), now);
+	if (!newer || !msg->state)
+		return;
+	packed.body = str_dup(relay->fx->pool, msg->body);
+	send_to_children(relay, children, list_children(relay, now, children),
+			 &packed, now);
+}
+
+void relay_on_items(struct relay *relay, struct str from, const struct msg *msg,
+		    int64_t now)
+{
+	struct key_list list;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, relay->dir->pool);
+	if (unpack_list(relay, from, msg, pool, &list, now)) {
+		if (msg->wait_us)
+			balancer_on_store_lost(relay->dir->balancer,
+					       now - msg->wait_us);
+		merge_list(relay, from, msg, &list, now);
+	}
+	apr_pool_destroy(pool);
 }
 
 void relay_on_request(struct relay *relay, struct str from,
 		      const struct msg *msg, int64_t now)
 {
+	struct packed_list list;
+
 	if (!relay->dir->revision)
 		return;
-	send_msg(relay, from, MSG_ITEMS, msg->version,
-		 pack_items(relay, msg->version), false, now);
+	list = pack_list(relay, msg->version);
+	send_list(relay, from, &list, false, now);
 }
 
 int64_t relay_wake_at(const struct relay *relay, int64_t now)
--- a/tests/check_config.c
+++ b/tests/check_config.c
@@ -90,8 +90,11 @@
 	struct store_item item = { .key = STR("op/config"),
 				   .value = text,
 				   .revision = revision };
+	struct store_reply reply = { .items = &item,
+				     .count = 1,
+				     .revision = revision };
 
-	directory_apply(&node_copy->dir, &item, 1, 1000);
+	directory_apply(&node_copy->dir, &reply, 1000);
 }
 
 /* Sends one node's copy to another, in a frame. */
@@ -105,8 +108,7 @@
 			       .count = 1 };
 	struct frame got = { 0 };
 	struct error err = { 0 };
-	struct store_item *items;
-	size_t count;
+	struct store_reply reply = { 0 };
 
 	directory_encode(&from->dir, 0, &body);
 	msg.body = buf_str(&body);
@@ -114,10 +116,11 @@
 	ck_assert_uint_le(bytes.len, FRAME_MAX);
 	ck_assert_int_eq(frame_decode(buf_str(&bytes), &got, &err),
 			 (int)bytes.len);
-	ck_assert_int_eq(
-		payload_decode_items(got.msgs[0].body, pool, &items, &count),
-		0);
-	directory_apply(&to->dir, items, count, 1000);
+	ck_assert_int_eq(payload_decode_items(got.msgs[0].body, pool,
+					      &reply.items, &reply.count),
+			 0);
+	reply.revision = from->dir.revision;
+	directory_apply(&to->dir, &reply, 1000);
 	frame_free(&got);
 	buf_free(&body);
 	buf_free(&bytes);
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -636,6 +636,7 @@
 			     "\"cold_left_ms\":0,\"seq\":1}"),
 		.revision = c->revision,
 	};
+	struct key_list list = { .revision = 45, .items = &item, .count = 1 };
 	struct balancer *balancer = balancer_create(pool, STR("here"), 0);
 	struct flow_effects fx;
 	struct decision_log decision_log = { .fx = &fx };
@@ -644,7 +645,7 @@
 	flow_effects_init(&fx, pool);
 	directory_init(&dir, pool, &platform_dialect, balancer, &decision_log);
 	dir.revision = 50;
-	directory_merge(&dir, &item, 1, SECOND_US);
+	ck_assert(!directory_merge(&dir, &list, SECOND_US));
 	ck_assert_msg(balancer_count(balancer) == c->accepted, "%s", c->name);
 	directory_destroy(&dir);
 	balancer_destroy(balancer);
--- a/tests/fuzz_tier.c
+++ b/tests/fuzz_tier.c
@@ -6,6 +6,9 @@
  *     fuzz-tier FIRST COUNT            seeds FIRST to FIRST + COUNT - 1
  *     fuzz-tier FIRST COUNT deadly     with a poison request, which crashes the
  *                                      targets that run it
+ *     fuzz-tier FIRST COUNT removals   targets and domains' evacuations are
+ *                                      removed while readers of the store are
+ *                                      away and its history gets lost
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,6 +17,7 @@
 #include <apr_general.h>
 
 #include "sim.h"
+#include "sim_beliefs.h"
 
 enum {
 	STEPS = 250,
@@ -33,6 +37,19 @@
 	POISON_STEPS = 750,
 	POISON_FAULT_STEPS = 16,
 	POISON_LATE_RUNS_MAX = 3,
+	NODES = 6,
+	REMOVAL_NODES = 9,
+	REMOVAL_FAULT_STEPS = 2,
+	PAGE_ITEMS = 7,
+	/* Nodes 0, 1 and 2 read the store for their domains. */
+	READERS = SIM_DOMAINS,
+};
+
+/** enum mode - what is fuzzed */
+enum mode {
+	MODE_FAULTS,
+	MODE_POISON,
+	MODE_REMOVALS,
 };
 
 /** struct scenario - the run of one seed: simulation and active faults */
@@ -105,15 +122,64 @@
 		sim_add_target(sim, target->service, target->domain);
 }
 
-static void kill_node(struct scenario *scenario)
+static void take_down(struct scenario *scenario, int node, int64_t down_us)
 {
-	int node = (int)random_below(scenario, (uint64_t)scenario->sim->nnodes);
-
 	if (!scenario->sim->nodes[node].up)
 		return;
 	scenario->sim->nodes[node].fault_at = scenario->sim->now;
 	sim_kill_node(scenario->sim, node);
-	scenario->down_until[node] = scenario->sim->now + RESTART_US;
+	scenario->down_until[node] = scenario->sim->now + down_us;
+}
+
+static void kill_node(struct scenario *scenario)
+{
+	take_down(scenario,
+		  (int)random_below(scenario, (uint64_t)scenario->sim->nnodes),
+		  RESTART_US);
+}
+
+static void kill_reader(struct scenario *scenario)
+{
+	take_down(scenario, (int)random_below(scenario, READERS),
+		  (int64_t)random_below(scenario, RESTART_US));
+}
+
+/* Some targets never report that they leave. */
+static void remove_target(struct scenario *scenario)
+{
+	struct sim *sim = scenario->sim;
+	int index = (int)random_below(scenario, (uint64_t)sim->ntargets);
+	struct sim_target *target = &sim->targets[index];
+
+	if (target->leaving_since || sim->store_down)
+		return;
+	sim_unpublish_target(sim, index);
+	target->leaving_since = sim->now;
+	if (sim->ntargets < SIM_TARGETS_MAX)
+		sim_add_target(sim, target->service, target->domain);
+}
+
+static void write_target(struct scenario *scenario)
+{
+	struct sim *sim = scenario->sim;
+	int index = (int)random_below(scenario, (uint64_t)sim->ntargets);
+
+	if (!sim->targets[index].leaving_since && !sim->store_down)
+		sim_publish_target(sim, index);
+}
+
+static void toggle_domain(struct scenario *scenario)
+{
+	struct sim *sim = scenario->sim;
+	int domain = (int)random_below(scenario, SIM_DOMAINS);
+
+	if (!sim->store_down)
+		sim_set_domain_out(sim, domain, !sim->out_since[domain]);
+}
+
+static void lose_history(struct scenario *scenario)
+{
+	sim_lose_history(scenario->sim);
 }
 
 static void pause_node(struct scenario *scenario)
@@ -189,6 +255,41 @@
 	cut_store,    fail_store,   configure,	 remove_faults,
 };
 
+static void (*const removal_faults[])(struct scenario *) = {
+	remove_target, remove_target, remove_target, toggle_domain,
+	write_target,  write_target,  drain_target,  kill_reader,
+	kill_reader,   kill_node,     pause_node,    cut_link,
+	cut_store,     fail_store,    lose_history,  configure,
+	remove_faults, remove_faults,
+};
+
+/** struct fault_table - faults of a mode, drawn with the same probability */
+struct fault_table {
+	void (*const *faults)(struct scenario *);
+	size_t count;
+	int nodes;
+	int page_items;
+	int steps;
+	uint64_t fault_steps;
+};
+
+#define FAULTS(table) (table), sizeof(table) / sizeof(*(table))
+
+static const struct fault_table fault_tables[] = {
+	[MODE_FAULTS] = { FAULTS(faults), NODES, 0, STEPS, FAULT_STEPS },
+	[MODE_POISON] = { FAULTS(faults), NODES, 0, POISON_STEPS,
+			  POISON_FAULT_STEPS },
+	[MODE_REMOVALS] = { FAULTS(removal_faults), REMOVAL_NODES, PAGE_ITEMS,
+			    STEPS, REMOVAL_FAULT_STEPS },
+};
+
+static void cause_fault(struct scenario *scenario,
+			const struct fault_table *table)
+{
+	if (random_below(scenario, table->fault_steps) == 0)
+		table->faults[random_below(scenario, table->count)](scenario);
+}
+
 /* Invariants. */
 
 static const char *find_call_violation(const struct sim_call *call)
@@ -293,15 +394,11 @@
 	return served;
 }
 
-static const char *run_seed(uint64_t seed, bool poison)
+static struct sim *start_sim(const struct fault_table *table, uint64_t seed)
 {
-	struct scenario scenario = { .version = 1 };
-	struct sim *sim = sim_create(6, seed);
-	int steps = poison ? POISON_STEPS : STEPS;
-	uint64_t fault_steps = poison ? POISON_FAULT_STEPS : FAULT_STEPS;
-	const char *violation;
+	struct sim *sim = sim_create(table->nodes, seed);
 
-	scenario.sim = sim;
+	sim->page_items = table->page_items;
 	sim_add_targets(sim, "s", 2);
 	for (int i = 0; i < 2 * SIM_DOMAINS; i++)
 		sim_add_target(sim, "single", i % SIM_DOMAINS);
@@ -309,15 +406,38 @@
 	for (int i = 0; i < sim->nnodes; i++)
 		sim_start_node(sim, i);
 	sim_run_until_ready(sim);
-	for (int step = 0; step < steps; step++) {
+	return sim;
+}
+
+static void end_faults(struct scenario *scenario)
+{
+	struct sim *sim = scenario->sim;
+
+	remove_faults(scenario);
+	for (int i = 0; i < SIM_DOMAINS; i++)
+		if (sim->out_since[i])
+			sim_set_domain_out(sim, i, false);
+	for (int i = 0; i < sim->ntargets; i++)
+		sim->targets[i].up = true;
+	sim_run(sim, RESTART_US);
+	restart_nodes(scenario);
+	sim_run(sim, 6000000);
+}
+
+static const char *run_seed(uint64_t seed, enum mode mode)
+{
+	const struct fault_table *table = &fault_tables[mode];
+	struct scenario scenario = { .version = 1 };
+	struct sim *sim = start_sim(table, seed);
+	const char *violation;
+
+	scenario.sim = sim;
+	for (int step = 0; step < table->steps; step++) {
 		int node = (int)random_below(&scenario, (uint64_t)sim->nnodes);
 
-		if (random_below(&scenario, fault_steps) == 0)
-			faults[random_below(&scenario,
-					    sizeof(faults) / sizeof(*faults))](
-				&scenario);
+		cause_fault(&scenario, table);
 		restart_nodes(&scenario);
-		if (poison && step % POISON_INTERVAL_STEPS == 0)
+		if (mode == MODE_POISON && step % POISON_INTERVAL_STEPS == 0)
 			send_poison_request(&scenario);
 		if (sim->nodes[node].up && sim->nodes[node].ready)
 			sim_send_call(sim, node,
@@ -325,14 +445,11 @@
 					      &scenario, 3));
 		sim_run(sim, STEP_US);
 	}
-	remove_faults(&scenario);
-	for (int i = 0; i < sim->ntargets; i++)
-		sim->targets[i].up = true;
-	sim_run(sim, RESTART_US);
-	restart_nodes(&scenario);
-	sim_run(sim, 6000000);
+	end_faults(&scenario);
 	ignore_late_answers(sim);
 	violation = find_violation(&scenario);
+	if (!violation)
+		violation = sim_wrong_belief(sim);
 	if (!violation && count_served_after_faults(sim) < sim->nnodes)
 		violation =
 			"a node did not serve after all faults were removed";
@@ -340,16 +457,23 @@
 	return violation;
 }
 
+static enum mode parse_mode(const char *name)
+{
+	if (!strcmp(name, "deadly"))
+		return MODE_POISON;
+	return strcmp(name, "removals") ? MODE_FAULTS : MODE_REMOVALS;
+}
+
 int main(int argc, char **argv)
 {
 	uint64_t first = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
 	uint64_t count = argc > 2 ? strtoull(argv[2], NULL, 10) : 20;
-	bool poison = argc > 3 && !strcmp(argv[3], "deadly");
+	enum mode mode = argc > 3 ? parse_mode(argv[3]) : MODE_FAULTS;
 	int failed = 0;
 
 	apr_initialize();
 	for (uint64_t seed = first; seed < first + count; seed++) {
-		const char *violation = run_seed(seed, poison);
+		const char *violation = run_seed(seed, mode);
 
 		if (!violation)
 			continue;
--- a/tests/run.py
+++ b/tests/run.py
@@ -27,6 +27,7 @@
 FUZZ_SEEDS = "24"
 TIER_SEEDS = "200"
 DEADLY_SEEDS = "60"
+REMOVAL_SEEDS = "100"
 REGRESSION_SEEDS = ("10098",)  # removed entries came back from a peer
 # Nodes restart in turn within a window while most requests need a retry.
 RESTARTS_SOAK = ("--faults", "kill_each", "--lost-share", "0.6",
@@ -106,7 +107,7 @@
 
 def jobs():
     for name in ("check-points", "check-input", "check-fetch", "check-tier",
-                 "check-load", "check-budget", "check-start", "check-stop",
+                 "check-load", "check-budget", "check-relay", "check-start", "check-stop",
                  "check-stop-serve", "check-poison", "check-deadly",
                  "check-deadly-serve", "check-parts", "check-platform",
                  "check-config", "check-http", "check-upstream", "check-peer"):
@@ -118,6 +119,9 @@
     yield "fuzz-tier deadly", lambda: run_program(
         "fuzz-tier deadly", f"{BUILD}/tests/fuzz-tier", "1", DEADLY_SEEDS,
         "deadly")
+    yield "fuzz-tier removals", lambda: run_program(
+        "fuzz-tier removals", f"{BUILD}/tests/fuzz-tier", "1", REMOVAL_SEEDS,
+        "removals")
     for seed in REGRESSION_SEEDS:
         yield f"fuzz-tier deadly {seed}", lambda s=seed: run_program(
             f"fuzz-tier deadly {s}", f"{BUILD}/tests/fuzz-tier", s, "1",
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -37,7 +37,7 @@
 	str_free(event->msg.body);
 	str_free(event->msg.name);
 	str_free(event->msg.text);
-	str_free(event->prefix);
+	str_free(event->after);
 	str_free(event->request_id);
 	str_free(event->uri);
 	str_free(event->expected);
@@ -158,6 +158,7 @@
 	sim->store_calls++;
 	event->call = fx->call;
 	event->revision = fx->revision;
+	event->after = str_heap_dup(fx->after);
 	event->store_ok = ok;
 	event->incarnation = sim->nodes[node].incarnation;
 	if (ok && fx->call == STORE_WATCH && fx->revision >= sim->revision)
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -146,6 +146,8 @@
 	uint64_t revision;
 	uint64_t version;
 	bool store_down;
+	int page_items; /* of a page of the store, 0: all keys */
+	uint64_t history_from; /* changes up to this revision are forgotten */
 	bool links_cut[SIM_NODES_MAX][SIM_NODES_MAX];
 	/* Arrival of the last message, by sender and receiver. */
 	int64_t last_arrival_at[SIM_NODES_MAX][SIM_NODES_MAX];
@@ -188,6 +190,8 @@
 		       const struct sim_request_spec *spec);
 /** sim_crash_target() - crash a target with all its requests; it restarts */
 void sim_crash_target(struct sim *sim, int target);
+/** sim_lose_history() - the store forgets all changes up to now */
+void sim_lose_history(struct sim *sim);
 /** sim_run() - advance virtual time by @us */
 void sim_run(struct sim *sim, int64_t us);
 /** sim_run_until_ready() - run until all nodes are ready, at most 10 s */
--- a/tests/sim_internal.h
+++ b/tests/sim_internal.h
@@ -47,7 +47,7 @@
 	enum store_call call;
 	uint64_t revision;
 	bool store_ok;
-	struct str prefix;
+	struct str after;
 	struct str request_id;
 	struct str uri;
 	struct str expected;
--- a/tests/sim_targets.c
+++ b/tests/sim_targets.c
@@ -347,6 +347,46 @@
 	schedule_reply(sim, event, run_us, reply);
 }
 
+void sim_lose_history(struct sim *sim)
+{
+	sim->history_from = sim->revision;
+}
+
+static struct store_item to_item(const struct store_key *key)
+{
+	return (struct store_item){ str_of(key->key), str_of(key->value),
+				    key->revision, key->deleted };
+}
+
+static void fill_changes(struct sim *sim, uint64_t since,
+			 struct store_reply *reply)
+{
+	for (int i = 0; i < sim->store->nkeys; i++)
+		if (sim->store->keys[i].revision > since)
+			reply->items[reply->count++] =
+				to_item(&sim->store->keys[i]);
+}
+
+/* Pages are in the order in which the keys were first written. */
+static void fill_page(struct sim *sim, struct str after,
+		      struct store_reply *reply)
+{
+	const struct sim_store *store = sim->store;
+	int i = 0;
+
+	while (after.len && i < store->nkeys &&
+	       !str_eq(str_of(store->keys[i++].key), after))
+		;
+	for (; i < store->nkeys && !reply->more; i++) {
+		if (store->keys[i].deleted)
+			continue;
+		reply->more = sim->page_items &&
+			      reply->count == (size_t)sim->page_items;
+		if (!reply->more)
+			reply->items[reply->count++] = to_item(&store->keys[i]);
+	}
+}
+
 void sim_store_replied(struct sim *sim, const struct sim_event *event)
 {
 	struct store_item items[SIM_STORE_KEYS_MAX];
@@ -358,18 +398,13 @@
 					  .why = "no reply in time",
 					  .reply = &reply };
 
-	for (int i = 0; i < sim->store->nkeys; i++) {
-		const struct store_key *key = &sim->store->keys[i];
-
-		if (event->call == STORE_WATCH
-			    ? key->revision <= event->revision
-			    : key->deleted)
-			continue;
-		items[reply.count++] =
-			(struct store_item){ str_of(key->key),
-					     str_of(key->value), key->revision,
-					     key->deleted };
-	}
+	store.lost_history = store.ok && event->call == STORE_WATCH &&
+			     event->revision < sim->history_from;
+	store.ok = store.ok && !store.lost_history;
+	if (event->call == STORE_WATCH)
+		fill_changes(sim, event->revision, &reply);
+	else
+		fill_page(sim, event->after, &reply);
 	sim_deliver(sim, event->node,
 		    (struct flow_event){ .type = FLOW_STORE_REPLY,
 					 .store = &store });
--- a/tier.c
+++ b/tier.c
@@ -610,6 +610,11 @@
 	return when;
 }
 
+const struct directory *tier_directory(const struct tier *tier)
+{
+	return &tier->dir;
+}
+
 void tier_metrics(const struct tier *tier, struct buf *out)
 {
 	struct poison_counts counts = poison_count(&tier->poison);
@@ -641,6 +646,9 @@
 		     dir->seen_bytes);
 	metric_gauge(out, "store_revision", "that this node knows",
 		     dir->revision);
+	metric_gauge(out, "store_history_start",
+		     "revision after which this node holds all deletions",
+		     dir->history_start);
 	metric_gauge(out, "store_age_ms",
 		     "since the store, or a reader of it, was heard of",
 		     (uint64_t)(tier->calls.now - dir->read_at) / 1000);
--- a/tier.h
+++ b/tier.h
@@ -11,6 +11,7 @@
  * merge, forward) and membership (gossip).
  */
 
+struct directory;
 struct tier;
 
 /**
@@ -41,5 +42,7 @@
 void tier_reap(struct tier *tier);
 /** tier_wake_at() - latest time at which the next FLOW_TICK is due. */
 int64_t tier_wake_at(const struct tier *tier);
+/** tier_directory() - what the node holds of the store, to be checked. */
+const struct directory *tier_directory(const struct tier *tier);
 /** tier_metrics() - append counters, gauges and histograms to @out as text. */
 void tier_metrics(const struct tier *tier, struct buf *out);
