--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -653,6 +653,68 @@
 }
 END_TEST
 
+#define ENTRY_TEXT \
+	"{\"service\":\"s\",\"addr\":\"10.0.0.1:80\",\"zone\":\"here\"," \
+	"\"version\":\"v1\",\"slots\":2,\"state\":\"ready\"," \
+	"\"cold_left_ms\":0,\"seq\":1}"
+
+/** struct rewrite_case - what another writer puts in place of an entry */
+struct rewrite_case {
+	const char *name;
+	struct str value;
+	bool published;
+};
+
+static const struct rewrite_case rewrite_cases[] = {
+	{ "the same entry", { ENTRY_TEXT, sizeof(ENTRY_TEXT) - 1 }, true },
+	{ "no bytes", { "", 0 }, false },
+	{ "bytes that are no text", { "\xff\xfe", 2 }, false },
+	{ "half an entry", { ENTRY_TEXT, 40 }, false },
+	{ "another type", { "[1]", 3 }, false },
+	{ "fields missing", { "{}", 2 }, false },
+};
+
+static void apply_value(struct directory *dir, struct str value,
+			uint64_t revision, bool deleted)
+{
+	struct store_item item = { .key = STR("servers/i-1"),
+				   .value = value,
+				   .revision = revision,
+				   .deleted = deleted };
+	struct store_reply reply = { .items = &item,
+				     .count = 1,
+				     .revision = revision };
+
+	directory_apply(dir, &reply, SECOND_US);
+}
+
+/* A target stayed in use whose entry was spoilt, and then removed. */
+START_TEST(test_unreadable_entry)
+{
+	const struct rewrite_case *c = &rewrite_cases[_i];
+	struct balancer *balancer = balancer_create(pool, STR("here"), 0);
+	struct flow_effects fx;
+	struct decision_log decision_log = { .fx = &fx };
+	struct directory dir;
+	struct live_target *target;
+
+	flow_effects_init(&fx, pool);
+	directory_init(&dir, pool, &platform_dialect, balancer, &decision_log);
+	apply_value(&dir, STR(ENTRY_TEXT), 1, false);
+	target = balancer_first_target(balancer, str_hash(STR("s")));
+	ck_assert(target && target->published);
+	apply_value(&dir, c->value, 2, false);
+	ck_assert_msg(target->published == c->published, "%s", c->name);
+	apply_value(&dir, (struct str){ 0 }, 3, true);
+	ck_assert_msg(!target->published, "%s, removed", c->name);
+	apply_value(&dir, STR(ENTRY_TEXT), 4, false);
+	ck_assert_msg(target->published, "%s, written anew", c->name);
+	directory_destroy(&dir);
+	balancer_destroy(balancer);
+	flow_effects_free(&fx);
+}
+END_TEST
+
 /** struct priority_case - two requests in the same wait queue */
 struct priority_case {
 	struct wait_priority a;
@@ -935,6 +997,8 @@
 	tcase_add_test(tcase, test_hanging_target);
 	tcase_add_test(tcase, test_two_request_kinds);
 	tcase_add_test(tcase, test_queue_place_lost_after_send);
+	tcase_add_loop_test(tcase, test_unreadable_entry, 0,
+			    COUNT(rewrite_cases));
 	tcase_add_loop_test(tcase, test_stale_items_from_peer, 0,
 			    COUNT(peer_item_cases));
 	tcase_add_loop_test(tcase, test_wait_priority, 0,
