Trailer fields of a reply are neither body nor headers

Cause: http-parser reports trailer fields through the callbacks of headers, which appended to the buffer in which the body stood behind them. Fields behind the headers are now dropped, as a recipient may.

--- a/reply.c
+++ b/reply.c
@@ -5,10 +5,13 @@
 	HEADERS_MAX_BYTES = 1024 * 1024,
 };
 
+/* Trailer fields behind a body in chunks are neither headers nor body. */
 static int on_header_field(http_parser *parser, const char *at, size_t len)
 {
 	struct reply *reply = parser->data;
 
+	if (reply->in_body)
+		return 0;
 	headers_add_name(&reply->headers, at, len);
 	return headers_size(&reply->headers) > HEADERS_MAX_BYTES;
 }
@@ -17,6 +20,8 @@
 {
 	struct reply *reply = parser->data;
 
+	if (reply->in_body)
+		return 0;
 	headers_add_value(&reply->headers, at, len);
 	return headers_size(&reply->headers) > HEADERS_MAX_BYTES;
 }
@@ -39,6 +44,7 @@
 {
 	struct reply *reply = parser->data;
 
+	reply->in_body = true;
 	reply->skip = is_stale_reply(reply);
 	return reply->no_body ? 1 : 0;
 }
@@ -61,6 +67,7 @@
 	if (parser->status_code / 100 == 1 || reply->skip) {
 		headers_clear(&reply->headers);
 		reply->body.len = 0;
+		reply->in_body = false;
 		reply->skip = false;
 		return 0;
 	}
@@ -81,6 +88,7 @@
 {
 	headers_clear(&reply->headers);
 	reply->body.len = 0;
+	reply->in_body = false;
 	reply->skip = false;
 	reply->done = false;
 	header_parser_init(&reply->parser, HTTP_RESPONSE, reply);
--- a/reply.h
+++ b/reply.h
@@ -18,6 +18,7 @@
  *                    request's id; a reply with another value belongs to an
  *                    earlier request. Not checked if @echo is empty or the
  *                    reply has no such header
+ * @in_body: the headers are complete
  * @skip: this reply belongs to an earlier request
  * @done: the reply is complete
  * @closes_after: the sender closes the connection after this reply
@@ -30,6 +31,7 @@
 	bool no_body;
 	struct buf echo_name;
 	struct buf echo;
+	bool in_body;
 	bool skip;
 	bool done;
 	bool closes_after;
--- a/tests/check_upstream.c
+++ b/tests/check_upstream.c
@@ -51,6 +51,11 @@
 	  "3\r\none\r\n0\r\n\r\n",
 	  REPLY("r2", "two"), false, false, FETCH_OK, 200, "one", true, "two",
 	  false, 0 },
+	{ "chunked with a trailer",
+	  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "3\r\none\r\n0\r\nX-Trailer: 1\r\n\r\n",
+	  REPLY("r2", "two"), false, false, FETCH_OK, 200, "one", true, "two",
+	  false, 0 },
 	{ "after an interim reply",
 	  "HTTP/1.1 100 Continue\r\n\r\n" REPLY("r1", "one"),
 	  REPLY("r2", "two"), false, false, FETCH_OK, 200, "one", true, "two",
@@ -290,6 +295,8 @@
 	out->result = reply->result;
 	out->status = reply->status;
 	out->opened = reply->opened;
+	if (reply->result == FETCH_OK)
+		ck_assert(!headers_find(reply->headers, STR("X-Trailer")).ptr);
 	snprintf(out->body, sizeof(out->body), "%.*s", STR_ARG(reply->body));
 }
 
