A freed target is not read; calls are told apart by incarnation

call.c read the key of a target after balancer_on_reply() had freed it: when a target rejected a request after its entry had been replaced. The wrong bit of tried targets could be marked, and a full target be asked again. The key is taken before, and the pointer cleared. test_replaced_target_rejects with the address sanitizer, before: heap-use-after-free in mark_rejected(); now none.

batch.c told delegated calls apart by address and number. A node that restarts counts anew, so that its cancellation or retry grant could meet a call of the process before it. Both now carry the incarnation, which frames had all along. test_cancel_of_incarnation, with the comparison taken out by hand: one of four cases ends the wrong call; now none.

--- a/batch.c
+++ b/batch.c
@@ -428,9 +428,14 @@
 	apr_pool_destroy(pool);
 }
 
-/* Return: the call to which the node at @from gave @id, or NULL. */
+/*
+ * A node that restarts counts its ids anew, so that the incarnation tells its
+ * calls from those of the process before.
+ *
+ * Return: the call to which the node at @from gave @id, or NULL.
+ */
 static struct call *find_delegated_call(struct calls *calls, struct str from,
-					uint64_t id)
+					uint64_t incarnation, uint64_t id)
 {
 	apr_hash_index_t *it;
 
@@ -438,25 +443,29 @@
 	     it = apr_hash_next(it)) {
 		struct call *call = hash_value(it);
 
-		if (call->origin_id == id && str_eq(call->origin, from))
+		if (call->origin_id == id &&
+		    call->origin_incarnation == incarnation &&
+		    str_eq(call->origin, from))
 			return call;
 	}
 	return NULL;
 }
 
-void batch_on_cancel(struct calls *calls, struct str from,
+void batch_on_cancel(struct calls *calls, struct str from, uint64_t incarnation,
 		     const struct msg *msg)
 {
-	struct call *call = find_delegated_call(calls, from, msg->id);
+	struct call *call =
+		find_delegated_call(calls, from, incarnation, msg->id);
 
 	if (call)
 		call_abandon(calls, call);
 }
 
 void batch_on_retry_grant(struct calls *calls, struct str from,
-			  const struct msg *msg)
+			  uint64_t incarnation, const struct msg *msg)
 {
-	struct call *call = find_delegated_call(calls, from, msg->id);
+	struct call *call =
+		find_delegated_call(calls, from, incarnation, msg->id);
 
 	if (!call || call->retries_granted)
 		return;
--- a/batch.h
+++ b/batch.h
@@ -82,7 +82,7 @@
 
 /** batch_on_retry_grant() - the node at @from sent the retry grant. */
 void batch_on_retry_grant(struct calls *calls, struct str from,
-			  const struct msg *msg);
+			  uint64_t incarnation, const struct msg *msg);
 
 /**
  * batch_on_request() - process a batch that the node at @from sent.
@@ -92,7 +92,7 @@
 		      struct str from, uint64_t incarnation,
 		      const struct msg *msg, int64_t delay_us);
 /** batch_on_cancel() - the node at @from cancelled its batch. */
-void batch_on_cancel(struct calls *calls, struct str from,
+void batch_on_cancel(struct calls *calls, struct str from, uint64_t incarnation,
 		     const struct msg *msg);
 /**
  * batch_send_reply() - send results of @call to its origin.
--- a/call.c
+++ b/call.c
@@ -445,6 +445,7 @@
 		apr_hash_get(calls->attempts, &id, sizeof(id));
 	struct attempt copy;
 	struct call *call;
+	uint64_t target_key;
 
 	call = attempt->call;
 	if (call) {
@@ -452,6 +453,7 @@
 		call->parts[attempt->part].open--;
 	}
 	copy = *attempt;
+	target_key = copy.target->key;
 	apr_hash_set(calls->attempts, &copy.id, sizeof(copy.id), NULL);
 	free(attempt);
 	if (call && classify_reply(reply) != REPLY_GOOD)
@@ -470,14 +472,16 @@
 		trial_on_attempt_ended(calls, call, !never_ran(reply));
 	if (reply->cold_us > 0)
 		copy.target->cold_until = calls->now + reply->cold_us;
+	/* This frees the target if it is no longer published. */
 	balancer_on_reply(calls->balancer, copy.target, classify_reply(reply),
 			  copy.baseline_us, copy.sent_at, calls->now);
+	copy.target = NULL;
 	if (!call)
 		return;
 	if (!never_ran(reply))
 		call->parts[copy.part].ran = true;
 	else if (reply->not_run && !reply->wrong_target)
-		mark_rejected(&call->parts[copy.part], copy.target->key);
+		mark_rejected(&call->parts[copy.part], target_key);
 	call->kind->replied(calls, call, &copy, reply);
 	/* The call may have ended, but its parts live until calls_reap(). */
 	if (call->parts[copy.part].done)
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -7,6 +7,7 @@
 
 #include <check.h>
 
+#include "../batch.h"
 #include "../budget.h"
 #include "../call.h"
 #include "../directory.h"
@@ -547,6 +548,67 @@
 	(void)reply;
 }
 
+/** struct calls_fixture - the calls of a node, and what they need */
+struct calls_fixture {
+	struct flow_effects fx;
+	struct decision_log decision_log;
+	struct poison poison;
+	struct poison_sync poison_sync;
+	struct calls calls;
+};
+
+static const struct call_kind test_kind = { .name = "test",
+					    .may_queue = true,
+					    .replied = ignore_reply };
+static const struct route test_route = { .max_attempts = 3, .goal_us = 100000 };
+
+static void calls_setup(struct calls_fixture *f)
+{
+	struct calls *calls = &f->calls;
+
+	f->decision_log = (struct decision_log){ .fx = &f->fx };
+	f->poison_sync = (struct poison_sync){
+		.poison = &f->poison,
+		.transport = { discard_msg, NULL, NULL },
+		.pool = pool,
+	};
+	flow_effects_init(&f->fx, pool);
+	calls_init(calls, pool, 1);
+	calls->poison = &f->poison;
+	calls->poison_sync = &f->poison_sync;
+	calls->fx = &f->fx;
+	calls->decision_log = &f->decision_log;
+	calls->now = 100 * (int64_t)SECOND_US;
+	calls->balancer = balancer_create(pool, STR("here"), 0);
+	poison_init(&f->poison, pool, (struct poison_targets){ 0 });
+	calls->budget = budget_create(
+		pool, (struct budget_rules){ 1, 100, 10 * SECOND_US }, 0);
+}
+
+static void calls_teardown(struct calls_fixture *f)
+{
+	struct budget *budget = f->calls.budget;
+	struct balancer *balancer = f->calls.balancer;
+
+	calls_destroy(&f->calls);
+	poison_destroy(&f->poison);
+	budget_destroy(budget);
+	balancer_destroy(balancer);
+	flow_effects_free(&f->fx);
+}
+
+static struct call *make_call(struct calls_fixture *f, struct part *part)
+{
+	struct flow_request request = { .request_id = STR("r") };
+	struct call *call = call_create(&f->calls, 1, &request,
+					catalog_create(), &test_route);
+
+	call->kind = &test_kind;
+	call->parts = part;
+	call->nparts = 1;
+	return call;
+}
+
 /*
  * A shard queues for a target; one appears, gets the request when the call is
  * processed again, and fails. The call decides whether to use another target,
@@ -556,54 +618,86 @@
  */
 START_TEST(test_queue_place_lost_after_send)
 {
-	static const struct call_kind kind = { .name = "test",
-					       .may_queue = true,
-					       .replied = ignore_reply };
-	static const struct route route = { .max_attempts = 3,
-					    .goal_us = 100000 };
 	struct flow_reply failed = { .result = FETCH_BROKEN };
-	struct flow_request request = { .request_id = STR("r") };
 	struct part part = { .service = 5 };
 	struct target_entry a = make_entry("a", "here");
 	struct target_entry b = make_entry("b", "there");
-	struct flow_effects fx;
-	struct decision_log decision_log = { .fx = &fx };
-	struct poison poison;
-	struct poison_sync poison_sync = { .poison = &poison,
-					   .transport = { discard_msg, NULL,
-							  NULL },
-					   .pool = pool };
-	struct calls calls;
+	struct calls_fixture f;
 	struct call *call;
 
-	flow_effects_init(&fx, pool);
-	calls_init(&calls, pool, 1);
-	calls.poison = &poison;
-	calls.poison_sync = &poison_sync;
-	calls.fx = &fx;
-	calls.decision_log = &decision_log;
-	calls.now = 100 * (int64_t)SECOND_US;
-	calls.balancer = balancer_create(pool, STR("here"), 0);
-	poison_init(&poison, pool, (struct poison_targets){ 0 });
-	calls.budget = budget_create(
-		pool, (struct budget_rules){ 1, 100, 10 * SECOND_US }, 0);
-	call = call_create(&calls, 1, &request, catalog_create(), &route);
-	call->kind = &kind;
-	call->parts = &part;
-	call->nparts = 1;
-	ck_assert_int_eq(call_send(&calls, call, 0), SEND_NO_TARGET);
-	balancer_publish(calls.balancer, &a, calls.now);
-	balancer_publish(calls.balancer, &b, calls.now);
-	ck_assert_int_eq(call_send(&calls, call, 0), SEND_DONE);
-	call_on_reply(&calls, call->attempts->id, &failed);
+	calls_setup(&f);
+	call = make_call(&f, &part);
+	ck_assert_int_eq(call_send(&f.calls, call, 0), SEND_NO_TARGET);
+	balancer_publish(f.calls.balancer, &a, f.calls.now);
+	balancer_publish(f.calls.balancer, &b, f.calls.now);
+	ck_assert_int_eq(call_send(&f.calls, call, 0), SEND_DONE);
+	call_on_reply(&f.calls, call->attempts->id, &failed);
 	ck_assert_uint_eq(part.nattempts, 1);
 	ck_assert_int_eq(part.open, 0);
-	call_finish(&calls, call);
-	calls_destroy(&calls);
-	poison_destroy(&poison);
-	budget_destroy(calls.budget);
-	balancer_destroy(calls.balancer);
-	flow_effects_free(&fx);
+	call_finish(&f.calls, call);
+	calls_teardown(&f);
+}
+END_TEST
+
+/* A target that was replaced rejects a request: it is freed with the reply. */
+START_TEST(test_replaced_target_rejects)
+{
+	struct flow_reply rejected = { .result = FETCH_OK,
+				       .status = 503,
+				       .not_run = true,
+				       .cold_us = -1 };
+	struct part part = { .service = 5 };
+	struct target_entry a = make_entry("a", "here");
+	struct calls_fixture f;
+	struct call *call;
+
+	calls_setup(&f);
+	call = make_call(&f, &part);
+	balancer_publish(f.calls.balancer, &a, f.calls.now);
+	ck_assert_int_eq(call_send(&f.calls, call, 0), SEND_DONE);
+	a.born_ms = 1;
+	balancer_publish(f.calls.balancer, &a, f.calls.now);
+	call_on_reply(&f.calls, call->attempts->id, &rejected);
+	ck_assert_uint_eq(part.rejected, 1);
+	call_finish(&f.calls, call);
+	calls_teardown(&f);
+}
+END_TEST
+
+/** struct cancel_case - a cancellation, and whether it ends the call */
+struct cancel_case {
+	const char *from;
+	uint64_t incarnation;
+	uint64_t id;
+	bool ends;
+};
+
+static const struct cancel_case cancel_cases[] = {
+	{ "10.0.0.1:7", 3, 9, true },
+	{ "10.0.0.1:7", 4, 9, false },
+	{ "10.0.0.1:7", 3, 8, false },
+	{ "10.0.0.2:7", 3, 9, false },
+};
+
+/* A restarted node's cancellation ended a call of the process before it. */
+START_TEST(test_cancel_of_incarnation)
+{
+	const struct cancel_case *c = &cancel_cases[_i];
+	struct msg msg = { .kind = MSG_ASK_CANCEL, .id = c->id };
+	struct part part = { .service = 5 };
+	struct calls_fixture f;
+	struct call *call;
+
+	calls_setup(&f);
+	call = make_call(&f, &part);
+	call->origin = STR("10.0.0.1:7");
+	call->origin_incarnation = 3;
+	call->origin_id = 9;
+	batch_on_cancel(&f.calls, str_of(c->from), c->incarnation, &msg);
+	ck_assert_int_eq(call->abandoned, c->ends);
+	if (!c->ends)
+		call_finish(&f.calls, call);
+	calls_teardown(&f);
 }
 END_TEST
 
@@ -997,6 +1091,9 @@
 	tcase_add_test(tcase, test_hanging_target);
 	tcase_add_test(tcase, test_two_request_kinds);
 	tcase_add_test(tcase, test_queue_place_lost_after_send);
+	tcase_add_test(tcase, test_replaced_target_rejects);
+	tcase_add_loop_test(tcase, test_cancel_of_incarnation, 0,
+			    COUNT(cancel_cases));
 	tcase_add_loop_test(tcase, test_unreadable_entry, 0,
 			    COUNT(rewrite_cases));
 	tcase_add_loop_test(tcase, test_stale_items_from_peer, 0,
--- a/tier.c
+++ b/tier.c
@@ -477,10 +477,12 @@
 		batch_on_reply(&tier->calls, event->from, msg);
 		break;
 	case MSG_ASK_GO:
-		batch_on_retry_grant(&tier->calls, event->from, msg);
+		batch_on_retry_grant(&tier->calls, event->from,
+				     event->incarnation, msg);
 		break;
 	case MSG_ASK_CANCEL:
-		batch_on_cancel(&tier->calls, event->from, msg);
+		batch_on_cancel(&tier->calls, event->from, event->incarnation,
+				msg);
 		break;
 	default:
 		/* The other kinds are used by node.c, not by the tier. */
