The soak removes targets while readers of the store are away

New faults remove_target, kill_reader and lose_history, together as the profile "removals"; a request that a node in touch sends to a target later than 3.5 s after the removal is a fault.

--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -58,6 +58,7 @@
         self.revision = 1
         self.changed = asyncio.Event()
         self.down = False  # True: replies 503; "stalled": never replies
+        self.history_from = 0  # changes up to this revision are forgotten
         self.calls = 0
 
     def put(self, key, value):
@@ -105,6 +106,8 @@
                 elif path == "/kv-range":
                     body = json.dumps(self.range(args["prefix"])).encode()
                     writer.write(response(200, {}, body))
+                elif int(args["after"]) < self.history_from:
+                    writer.write(response(410, {}, b""))
                 else:
                     changes = await self.watch(int(args["after"]),
                                                int(args["wait_ms"]) / 1000)
@@ -133,7 +136,8 @@
     def __init__(self):
         self.arrivals = []
         self.runs = {}
-        self.late_arrivals = []
+        self.late_arrivals = []  # at targets that report that they leave
+        self.late_after_removal = []
         self.crashes = []  # (time, request id) of each target crash
 
     def record_arrival(self, target, request_id, headers, ran):
@@ -154,6 +158,7 @@
         self.execution_log, self.service_time = execution_log, service_time
         self.slots = asyncio.Semaphore(2)
         self.draining_since = None
+        self.removed_since = None
         self.ended = []  # times of its crashes
         self.link_faults = []  # (start, end) of disturbances of its link
         self.shed_share = self.drop_share = self.duplicate_share = 0.0
@@ -183,6 +188,10 @@
         if (self.draining_since
                 and time.monotonic() - self.draining_since > 3.5):
             self.execution_log.late_arrivals.append((self.id, request_id))
+        if (self.removed_since
+                and time.monotonic() - self.removed_since > 3.5):
+            self.execution_log.late_after_removal.append(
+                (self.id, request_id))
         sheds = random.random() < self.shed_share
         self.execution_log.record_arrival(self, request_id, head[1],
                                           not sheds)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,6 +14,12 @@
                "stall_link", "stall_replies", "reset_links", "drain_target",
                "fail_store", "stall_store", "reconfigure", "kill_node",
                "stop_node", "pause_node", "reload_node"), (0.05, 0.5)),
+    # Targets that never report that they leave, while readers of the store
+    # are away.
+    "removals": (("remove_target", "remove_target", "remove_target",
+                  "drain_target", "kill_reader", "kill_reader", "kill_node",
+                  "stop_node", "pause_node", "lose_history", "stall_store",
+                  "reconfigure"), (0.1, 0.8)),
     "restarts": (("kill_each", "stop_each", "kill_all", "kill_node",
                   "pause_node", "pause_node", "drop_many_replies",
                   "drop_many_replies", "reset_links"), (0.3, 3.0)),
@@ -71,13 +77,25 @@
 
     async def drain_target(self):
         target = self.random_target()
-        if (target.draining_since or self.store.down
+        if (target.draining_since or target.removed_since or self.store.down
                 or self.store_proxy.stalled):
             return
         await self.add_target(target.service, target.zone)
         target.draining_since = time.monotonic()
         self.publish(target)
 
+    async def remove_target(self):
+        target = self.random_target()
+        if (target.draining_since or target.removed_since or self.store.down
+                or self.store_proxy.stalled):
+            return
+        await self.add_target(target.service, target.zone)
+        target.removed_since = time.monotonic()
+        self.store.put(f"servers/{target.id}", None)
+
+    async def lose_history(self):
+        self.store.history_from = self.store.revision
+
     def crash_target(self, target):
         """Abort all connections of the target and restart it later."""
         proxy = self.proxies[target.id]
@@ -115,9 +133,17 @@
         self.configure()
 
     async def kill_node(self):
-        node = self.rng.randrange(self.args.nodes)
+        await self.kill_and_restart(self.rng.randrange(self.args.nodes), 0.5)
+
+    async def kill_reader(self):
+        """The first node of a zone reads the store for the others there."""
+        await self.kill_and_restart(
+            self.rng.randrange(len(self.shape.zones)),
+            self.rng.uniform(0.1, 2.0))
+
+    async def kill_and_restart(self, node, down_s):
         self.signal_node(node, signal.SIGKILL)
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(down_s)
         self.restart_node(node)
 
     async def stop_node(self):
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -347,6 +347,11 @@
                 self.report(f"{request_id}: ran twice")
         for target_id, request_id in self.execution_log.late_arrivals:
             self.report(f"{request_id}: sent to {target_id} after its drain")
+        for target_id, request_id in self.execution_log.late_after_removal:
+            request = self.requests.get(request_id)
+            if request and request.in_touch:
+                self.report(f"{request_id}: sent by node{request.node} to "
+                            f"{target_id} after its removal")
 
     def check_budget(self):
         arrivals = self.execution_log.arrivals
