Tests of heads and of a node's replica in files of their own

Moved: what is read from HTTP heads (check_head.c) and one node's replica of the store (check_directory.c, with the sequences of lists that stood in check_relay.c). In the soak draining and removing share the choice of the target; one that is to leave is not chosen again.

--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -159,6 +159,7 @@
         self.slots = asyncio.Semaphore(2)
         self.draining_since = None
         self.removed_since = None
+        self.leaves = False  # it is to drain, or to be removed
         self.ended = []  # times of its crashes
         self.link_faults = []  # (start, end) of disturbances of its link
         self.shed_share = self.drop_share = self.duplicate_share = 0.0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -75,23 +75,27 @@
         for proxy in self.rng.sample(list(self.proxies.values()), 5):
             proxy.reset()
 
-    async def drain_target(self):
+    async def replace_target(self):
+        """Start another target in its place; the one to leave, or None."""
         target = self.random_target()
-        if (target.draining_since or target.removed_since or self.store.down
-                or self.store_proxy.stalled):
-            return
+        if target.leaves or self.store.down or self.store_proxy.stalled:
+            return None
+        target.leaves = True
         await self.add_target(target.service, target.zone)
-        target.draining_since = time.monotonic()
-        self.publish(target)
+        return target
+
+    async def drain_target(self):
+        target = await self.replace_target()
+        if target:
+            target.draining_since = time.monotonic()
+            self.publish(target)
 
     async def remove_target(self):
-        target = self.random_target()
-        if (target.draining_since or target.removed_since or self.store.down
-                or self.store_proxy.stalled):
-            return
-        await self.add_target(target.service, target.zone)
-        target.removed_since = time.monotonic()
-        self.store.put(f"servers/{target.id}", None)
+        """It leaves without reporting that."""
+        target = await self.replace_target()
+        if target:
+            target.removed_since = time.monotonic()
+            self.store.put(f"servers/{target.id}", None)
 
     async def lose_history(self):
         self.store.history_from = self.store.revision
--- a/tests/check_parts.c
+++ b/tests/check_parts.c
@@ -1,6 +1,6 @@
 /*
  * Unit tests of parts of the tier that need no network: records, budgets,
- * routes, the balancer, calls and HTTP heads.
+ * routes, the balancer and calls.
  */
 #include <math.h>
 #include <stdio.h>
@@ -10,8 +10,6 @@
 #include "../batch.h"
 #include "../budget.h"
 #include "../call.h"
-#include "../directory.h"
-#include "../head.h"
 #include "../wait_queue.h"
 #include "../poison_sync.h"
 #include "../decision_log.h"
@@ -701,114 +699,6 @@
 }
 END_TEST
 
-/** struct peer_item_case - a peer's entry, received at revision 50 */
-struct peer_item_case {
-	const char *name;
-	uint64_t revision;
-	bool accepted;
-};
-
-static const struct peer_item_case peer_item_cases[] = {
-	{ "deleted before this node read the store", 10, false },
-	{ "deleted at the revision that was read", 50, false },
-	{ "published since", 51, true },
-};
-
-/*
- * A node reads the whole store after its start; then a peer that was cut off
- * from the store sends entries of targets deleted meanwhile. If the node sent
- * requests to these, callers would be refused.
- */
-START_TEST(test_stale_items_from_peer)
-{
-	const struct peer_item_case *c = &peer_item_cases[_i];
-	struct store_item item = {
-		.key = STR("servers/i-1"),
-		.value = STR("{\"service\":\"s\",\"addr\":\"10.0.0.1:80\","
-			     "\"zone\":\"here\",\"version\":\"v1\","
-			     "\"slots\":2,\"state\":\"ready\","
-			     "\"cold_left_ms\":0,\"seq\":1}"),
-		.revision = c->revision,
-	};
-	struct key_list list = { .revision = 45, .items = &item, .count = 1 };
-	struct balancer *balancer = balancer_create(pool, STR("here"), 0);
-	struct flow_effects fx;
-	struct decision_log decision_log = { .fx = &fx };
-	struct directory dir;
-
-	flow_effects_init(&fx, pool);
-	directory_init(&dir, pool, &platform_dialect, balancer, &decision_log);
-	dir.revision = 50;
-	ck_assert(!directory_merge(&dir, &list, SECOND_US));
-	ck_assert_msg(balancer_count(balancer) == c->accepted, "%s", c->name);
-	directory_destroy(&dir);
-	balancer_destroy(balancer);
-	flow_effects_free(&fx);
-}
-END_TEST
-
-#define ENTRY_TEXT \
-	"{\"service\":\"s\",\"addr\":\"10.0.0.1:80\",\"zone\":\"here\"," \
-	"\"version\":\"v1\",\"slots\":2,\"state\":\"ready\"," \
-	"\"cold_left_ms\":0,\"seq\":1}"
-
-/** struct rewrite_case - what another writer puts in place of an entry */
-struct rewrite_case {
-	const char *name;
-	struct str value;
-	bool published;
-};
-
-static const struct rewrite_case rewrite_cases[] = {
-	{ "the same entry", { ENTRY_TEXT, sizeof(ENTRY_TEXT) - 1 }, true },
-	{ "no bytes", { "", 0 }, false },
-	{ "bytes that are no text", { "\xff\xfe", 2 }, false },
-	{ "half an entry", { ENTRY_TEXT, 40 }, false },
-	{ "another type", { "[1]", 3 }, false },
-	{ "fields missing", { "{}", 2 }, false },
-};
-
-static void apply_value(struct directory *dir, struct str value,
-			uint64_t revision, bool deleted)
-{
-	struct store_item item = { .key = STR("servers/i-1"),
-				   .value = value,
-				   .revision = revision,
-				   .deleted = deleted };
-	struct store_reply reply = { .items = &item,
-				     .count = 1,
-				     .revision = revision };
-
-	directory_apply(dir, &reply, SECOND_US);
-}
-
-/* A target stayed in use whose entry was spoilt, and then removed. */
-START_TEST(test_unreadable_entry)
-{
-	const struct rewrite_case *c = &rewrite_cases[_i];
-	struct balancer *balancer = balancer_create(pool, STR("here"), 0);
-	struct flow_effects fx;
-	struct decision_log decision_log = { .fx = &fx };
-	struct directory dir;
-	struct live_target *target;
-
-	flow_effects_init(&fx, pool);
-	directory_init(&dir, pool, &platform_dialect, balancer, &decision_log);
-	apply_value(&dir, STR(ENTRY_TEXT), 1, false);
-	target = balancer_first_target(balancer, str_hash(STR("s")));
-	ck_assert(target && target->published);
-	apply_value(&dir, c->value, 2, false);
-	ck_assert_msg(target->published == c->published, "%s", c->name);
-	apply_value(&dir, (struct str){ 0 }, 3, true);
-	ck_assert_msg(!target->published, "%s, removed", c->name);
-	apply_value(&dir, STR(ENTRY_TEXT), 4, false);
-	ck_assert_msg(target->published, "%s, written anew", c->name);
-	directory_destroy(&dir);
-	balancer_destroy(balancer);
-	flow_effects_free(&fx);
-}
-END_TEST
-
 /** struct priority_case - two requests in the same wait queue */
 struct priority_case {
 	struct wait_priority a;
@@ -925,156 +815,6 @@
 }
 END_TEST
 
-/** struct conn_limit_case - nodes, those near a target, its connection limit */
-struct conn_limit_case {
-	int nodes;
-	int near;
-	int max_conns;
-};
-
-static const struct conn_limit_case conn_limit_cases[] = {
-	{ 6, 2, 25 },  { 6, 2, 34 },   { 9, 3, 26 },   { 9, 3, 110 },
-	{ 2, 1, 400 }, { 1, 1, 1000 }, { 12, 3, 430 },
-};
-
-/*
- * All VMs lose power and restart while targets still hold the old connections:
- * old and new ones together must stay within a target's limit, or it resets the
- * new ones until it has closed the idle ones. At least a quarter of the limit
- * must be used, so that requests do not queue while capacity is unused.
- */
-START_TEST(test_conn_limits_after_restart)
-{
-	const struct conn_limit_case *c = &conn_limit_cases[_i];
-	int far = c->nodes - c->near;
-	struct conn_limit limits =
-		directory_conn_limits(c->max_conns, c->near, far);
-	int all = c->near * limits.near + far * limits.far;
-
-	ck_assert_int_gt(all, 0);
-	ck_assert_int_le(2 * all, c->max_conns);
-	ck_assert_int_ge(4 * all, c->max_conns);
-}
-END_TEST
-
-/* HTTP heads. */
-
-struct reply_case {
-	const char *name;
-	const char *value;
-	int status;
-	bool not_run;
-	bool wrong_target;
-	bool encoded;
-	int64_t cold_us;
-	int running;
-};
-
-static const struct reply_case reply_cases[] = {
-	{ "Not-Executed", "1", 503, true, false, false, -1, -1 },
-	{ "not-executed", "1", 503, true, false, false, -1, -1 },
-	{ "X-Other", "1", 503, false, false, false, -1, -1 },
-	{ "X-Other", "1", 421, true, true, false, -1, -1 },
-	{ "Content-Encoding", "gzip", 200, false, false, true, -1, -1 },
-	{ "Cold-Remaining", "1500", 200, false, false, false, 1500000, -1 },
-	{ "Cold-Remaining", "soon", 200, false, false, false, -1, -1 },
-	{ "Cold-Remaining", "-4", 200, false, false, false, -1, -1 },
-	{ "Server-Load", "3,0,8", 200, false, false, false, -1, 3 },
-	{ "Server-Load", "three", 200, false, false, false, -1, -1 },
-	{ "Server-Load", "", 200, false, false, false, -1, -1 },
-};
-
-START_TEST(test_reply_head)
-{
-	const struct reply_case *c = &reply_cases[_i];
-	struct headers headers = { 0 };
-	struct upstream_reply raw = { .result = FETCH_OK,
-				      .status = c->status,
-				      .headers = &headers };
-	struct flow_reply got;
-	struct buf lines = { 0 };
-
-	headers_add_name(&headers, c->name, strlen(c->name));
-	headers_add_value(&headers, c->value, strlen(c->value));
-
-	head_parse_reply(&platform_dialect, &raw, &got, &lines);
-	ck_assert_int_eq(got.not_run, c->not_run);
-	ck_assert_int_eq(got.wrong_target, c->wrong_target);
-	ck_assert_int_eq(got.encoded, c->encoded);
-	ck_assert_int_eq(got.cold_us, c->cold_us);
-	ck_assert_int_eq(got.running, c->running);
-	headers_free(&headers);
-	buf_free(&lines);
-}
-END_TEST
-
-/** struct number_case - text, of which @len bytes count, and its number */
-struct number_case {
-	const char *text;
-	size_t len;
-	int64_t number;
-};
-
-static const struct number_case number_cases[] = {
-	{ "5", 1, 5 },	       { "5, max=9", 8, 5 },
-	{ "123", 1, 1 },       { "0", 1, 0 },
-	{ "", 0, -1 },	       { "x5", 2, -1 },
-	{ "-5", 2, -1 },       { "86400", 5, 86400 },
-	{ "86401", 5, 86400 }, { "99999999999999999999", 20, 86400 },
-};
-
-/* Text is not terminated: digits behind it, such as a body's, don't count. */
-START_TEST(test_parse_int)
-{
-	const struct number_case *c = &number_cases[_i];
-	struct str text = { c->text, c->len };
-
-	ck_assert_int_eq(str_parse_int(text, 86400), c->number);
-}
-END_TEST
-
-struct header_case {
-	const char *name;
-	bool forwarded;
-};
-
-static const struct header_case header_cases[] = {
-	{ "Accept", true },	      { "X-Own", true },
-	{ "Content-Type", true },     { "connection", false },
-	{ "Keep-Alive", false },      { "Transfer-Encoding", false },
-	{ "Content-Length", false },  { "HOST", false },
-	{ "Request-Id", false },      { "request-deadline", false },
-	{ "Target-Instance", false }, { "Upgrade", false },
-};
-
-/* Hop-by-hop headers, and those that are rewritten, must not be forwarded. */
-START_TEST(test_forwarded_headers)
-{
-	head_set_dialect(&platform_dialect);
-	ck_assert_int_eq(head_is_forwarded(str_of(header_cases[_i].name)),
-			 header_cases[_i].forwarded);
-}
-END_TEST
-
-struct time_case {
-	const char *text;
-	int64_t us;
-};
-
-static const struct time_case time_cases[] = {
-	{ "500", 500000 }, { "0.5", 500 },
-	{ "", -1 },	   { "x", -1 },
-	{ "-1", -1 },	   { "99999999999999", -1 },
-	{ "0", 0 },	   { "111111111111111111111111111111", -1 },
-};
-
-START_TEST(test_time_left)
-{
-	ck_assert_int_eq(head_parse_time_left(str_of(time_cases[_i].text)),
-			 time_cases[_i].us);
-}
-END_TEST
-
 #define COUNT(table) ((int)(sizeof(table) / sizeof(*(table))))
 
 static void add_tests(TCase *tcase)
@@ -1094,10 +834,6 @@
 	tcase_add_test(tcase, test_replaced_target_rejects);
 	tcase_add_loop_test(tcase, test_cancel_of_incarnation, 0,
 			    COUNT(cancel_cases));
-	tcase_add_loop_test(tcase, test_unreadable_entry, 0,
-			    COUNT(rewrite_cases));
-	tcase_add_loop_test(tcase, test_stale_items_from_peer, 0,
-			    COUNT(peer_item_cases));
 	tcase_add_loop_test(tcase, test_wait_priority, 0,
 			    sizeof(priority_cases) / sizeof(*priority_cases));
 	tcase_add_loop_test(tcase, test_baseline, 0,
@@ -1105,14 +841,6 @@
 	tcase_add_test(tcase, test_address_reused);
 	tcase_add_test(tcase, test_unpublished_target_is_removed);
 	tcase_add_test(tcase, test_cold_target);
-	tcase_add_loop_test(tcase, test_conn_limits_after_restart, 0,
-			    COUNT(conn_limit_cases));
-	tcase_add_loop_test(tcase, test_parse_int, 0,
-			    sizeof(number_cases) / sizeof(*number_cases));
-	tcase_add_loop_test(tcase, test_reply_head, 0, COUNT(reply_cases));
-	tcase_add_loop_test(tcase, test_forwarded_headers, 0,
-			    COUNT(header_cases));
-	tcase_add_loop_test(tcase, test_time_left, 0, COUNT(time_cases));
 }
 
 int main(void)
--- a/tests/check_relay.c
+++ b/tests/check_relay.c
@@ -1,16 +1,13 @@
 /*
- * What is removed from the store while a node that reads it for others is away
- * must not stay in use anywhere: whole nodes in the simulation, and the replica
- * of one node.
+ * Tests of whole nodes in the simulation: what is removed from the store while
+ * a node that reads it for others is away must not stay in use anywhere.
  */
 #include <stdio.h>
 
 #include <check.h>
 
-#include "../directory.h"
 #include "sim.h"
 #include "sim_beliefs.h"
-#include "sim_dialect.h"
 #include "suite.h"
 
 #define COUNT(table) (int)(sizeof(table) / sizeof(*(table)))
@@ -185,197 +182,8 @@
 }
 END_TEST
 
-/** enum input_kind - where keys come from; IN_NONE ends a case's inputs */
-enum input_kind {
-	IN_NONE,
-	IN_LIST, /* another node */
-	IN_CHANGES, /* a watch of the store */
-	IN_SCAN, /* a scan of the store begins */
-	IN_PAGE, /* a part of it */
-	IN_SCAN_END,
-};
-
-enum {
-	INPUTS_MAX = 5,
-	DELETED = -1, /* factor of the revision of a deletion */
-};
-
-/**
- * struct input - keys as of a revision
- * @since, @history_start: of a list
- * @x: revision of key x; negative: of its deletion, 0: it is not among them
- */
-struct input {
-	enum input_kind kind;
-	uint64_t since;
-	uint64_t revision;
-	uint64_t history_start;
-	int x;
-};
-
-/** struct list_case - inputs, and what the replica then holds */
-struct list_case {
-	const char *name;
-	struct input inputs[INPUTS_MAX];
-	bool has_x;
-	uint64_t revision;
-	uint64_t history_start;
-};
-
-static const struct list_case list_cases[] = {
-	{ "deleted before the sender's scan",
-	  { { IN_LIST, 0, 20, 5, 10 }, { IN_LIST, 0, 30, 25, 0 } },
-	  false,
-	  30,
-	  25 },
-	{ "the sender holds the deletion",
-	  { { IN_LIST, 0, 20, 5, 10 }, { IN_LIST, 15, 30, 5, 22 * DELETED } },
-	  false,
-	  30,
-	  5 },
-	{ "all keys from a sender that holds as much",
-	  { { IN_LIST, 0, 20, 5, 10 }, { IN_LIST, 0, 30, 15, 0 } },
-	  false,
-	  30,
-	  5 },
-	{ "changes are missing",
-	  { { IN_LIST, 0, 20, 5, 10 }, { IN_LIST, 25, 30, 5, 0 } },
-	  true,
-	  20,
-	  5 },
-	{ "published behind missing changes",
-	  { { IN_LIST, 0, 20, 5, 0 }, { IN_LIST, 25, 30, 5, 27 } },
-	  true,
-	  20,
-	  5 },
-	{ "an older node holds it still",
-	  { { IN_LIST, 0, 40, 35, 0 }, { IN_LIST, 0, 30, 5, 10 } },
-	  false,
-	  40,
-	  35 },
-	{ "an older node holds what came after a known deletion",
-	  { { IN_LIST, 0, 20, 5, 12 * DELETED },
-	    { IN_LIST, 0, 40, 35, 0 },
-	    { IN_LIST, 0, 30, 5, 25 } },
-	  false,
-	  40,
-	  35 },
-	{ "all keys and an old deletion",
-	  { { IN_LIST, 0, 20, 5, 18 }, { IN_LIST, 0, 30, 25, 12 * DELETED } },
-	  false,
-	  30,
-	  25 },
-	{ "a reply of the store was under way",
-	  { { IN_LIST, 0, 20, 5, 0 },
-	    { IN_LIST, 0, 40, 35, 0 },
-	    { IN_CHANGES, 0, 30, 0, 25 } },
-	  false,
-	  40,
-	  35 },
-	{ "a page of the store was under way",
-	  { { IN_SCAN, 0, 0, 0, 0 },
-	    { IN_LIST, 0, 40, 35, 0 },
-	    { IN_PAGE, 0, 30, 0, 25 },
-	    { IN_SCAN_END, 0, 30, 0, 0 } },
-	  false,
-	  40,
-	  35 },
-	{ "an older node sends it during a scan",
-	  { { IN_SCAN, 0, 0, 0, 0 },
-	    { IN_PAGE, 0, 30, 0, 0 },
-	    { IN_LIST, 0, 20, 5, 10 },
-	    { IN_SCAN_END, 0, 30, 0, 0 } },
-	  false,
-	  30,
-	  30 },
-	{ "a scan finds it gone",
-	  { { IN_LIST, 0, 20, 5, 10 },
-	    { IN_SCAN, 0, 0, 0, 0 },
-	    { IN_PAGE, 0, 30, 0, 0 },
-	    { IN_SCAN_END, 0, 30, 0, 0 } },
-	  false,
-	  30,
-	  30 },
-	{ "a scan finds it, read before the newest list",
-	  { { IN_SCAN, 0, 0, 0, 0 },
-	    { IN_LIST, 0, 40, 35, 10 },
-	    { IN_PAGE, 0, 30, 0, 10 },
-	    { IN_SCAN_END, 0, 30, 0, 0 } },
-	  true,
-	  40,
-	  35 },
-	{ "written during a scan",
-	  { { IN_SCAN, 0, 0, 0, 0 },
-	    { IN_PAGE, 0, 30, 0, 0 },
-	    { IN_LIST, 0, 35, 25, 33 },
-	    { IN_SCAN_END, 0, 30, 0, 0 } },
-	  true,
-	  35,
-	  25 },
-};
-
-static void feed(struct directory *dir, const struct input *in)
-{
-	struct store_item item = {
-		.key = STR("all/t/x"),
-		.value = STR("s0 10.0.0.1:80 0 0 1"),
-		.revision = (uint64_t)(in->x < 0 ? -in->x : in->x),
-		.deleted = in->x < 0,
-	};
-	struct key_list list = { in->since, in->revision, in->history_start,
-				 &item, in->x != 0 };
-	struct store_reply reply = { &item, in->x != 0, in->revision, false };
-
-	if (in->kind == IN_LIST)
-		directory_merge(dir, &list, 1);
-	else if (in->kind == IN_CHANGES)
-		directory_apply(dir, &reply, 1);
-	else if (in->kind == IN_SCAN)
-		directory_begin_scan(dir);
-	else if (in->kind == IN_PAGE)
-		directory_apply_page(dir, &reply, 1);
-	else if (in->kind == IN_SCAN_END)
-		directory_end_scan(dir, in->revision, 1);
-}
-
-/* A replica holds what its newest source holds, and claims no more. */
-START_TEST(test_key_lists)
-{
-	const struct list_case *c = &list_cases[_i];
-	apr_pool_t *pool;
-	struct flow_effects fx;
-	struct decision_log decision_log = { .fx = &fx };
-	struct balancer *balancer;
-	struct live_target *target;
-	struct directory dir;
-	struct buf packed = { 0 };
-
-	apr_pool_create(&pool, NULL);
-	flow_effects_init(&fx, pool);
-	balancer = balancer_create(pool, STR("d0"), 0);
-	directory_init(&dir, pool, &sim_dialect, balancer, &decision_log);
-	for (int i = 0; i < INPUTS_MAX; i++)
-		feed(&dir, &c->inputs[i]);
-	target = balancer_first_target(balancer, str_hash(STR("s0")));
-	ck_assert_msg((target && target->published) == c->has_x, "%s", c->name);
-	ck_assert_msg(dir.revision == c->revision, "%s: revision", c->name);
-	ck_assert_msg(dir.history_start == c->history_start, "%s: history",
-		      c->name);
-	ck_assert_uint_eq(directory_encode(&dir, c->history_start, &packed),
-			  c->history_start);
-	ck_assert_uint_eq(directory_encode(&dir, c->history_start - 1, &packed),
-			  0);
-	buf_free(&packed);
-	directory_destroy(&dir);
-	balancer_destroy(balancer);
-	flow_effects_free(&fx);
-	apr_pool_destroy(pool);
-}
-END_TEST
-
 static void add_tests(TCase *tcase)
 {
-	tcase_add_loop_test(tcase, test_key_lists, 0, COUNT(list_cases));
 	tcase_add_loop_test(tcase, test_removed_while_away, 0,
 			    COUNT(removal_cases));
 }
--- a/tests/run.py
+++ b/tests/run.py
@@ -108,7 +108,8 @@
 
 def jobs():
     for name in ("check-points", "check-input", "check-fetch", "check-tier",
-                 "check-load", "check-budget", "check-relay", "check-start", "check-stop",
+                 "check-load", "check-budget", "check-relay", "check-directory",
+                 "check-head", "check-start", "check-stop",
                  "check-stop-serve", "check-poison", "check-deadly",
                  "check-deadly-serve", "check-parts", "check-platform",
                  "check-config", "check-http", "check-upstream", "check-peer"):
