--- a/http.c
+++ b/http.c
@@ -27,7 +27,7 @@
 	/*
 	 * A refused caller may still be sending. Closing with unread bytes
 	 * resets the connection, and the caller may lose the answer, so the
-	 * rest is read for this long.
+	 * rest is read until the caller closes or is silent for this long.
 	 */
 	LINGER_US = 1000000,
 	LOGGED_URI_BYTES = 80,
@@ -446,7 +446,9 @@
 		return;
 	if (got <= 0)
 		on_eof(conn);
-	else if (conn->phase != CONN_LINGERING)
+	else if (conn->phase == CONN_LINGERING)
+		set_phase(conn, CONN_LINGERING);
+	else
 		process_input(conn, bytes, (size_t)got);
 }
 
--- a/tests/check_http.c
+++ b/tests/check_http.c
@@ -23,6 +23,7 @@
 	QUIET_US = 60000,
 	HEADER_TIMEOUT_US = 150000,
 	IDLE_TIMEOUT_US = 1000000,
+	SENDING_US = 1500000,
 	LARGE_BYTES = 3000000,
 };
 
@@ -327,6 +328,27 @@
 }
 END_TEST
 
+/* A caller that goes on sending after a refusal still gets the answer. */
+START_TEST(test_refused_while_sending)
+{
+	struct fixture f = { 0 };
+	char part[1000] = { 0 };
+
+	set_up(&f, &small_limits);
+	send_text(&f, "PUT / HTTP/1.1\r\nContent-Length: 90000\r\n\r\n");
+	for (int64_t end = loop_now() + SENDING_US; loop_now() < end;) {
+		ck_assert_int_gt(send(f.fd, part, sizeof(part), MSG_NOSIGNAL),
+				 0);
+		usleep(100000);
+		loop_step(f.loop);
+	}
+	receive(&f);
+	ck_assert_uint_gt(f.received.len, 12);
+	ck_assert(!memcmp(f.received.ptr, "HTTP/1.1 413", 12));
+	tear_down(&f);
+}
+END_TEST
+
 /* An idle connection ends after the limit in force, also if that changes. */
 START_TEST(test_idle_connection)
 {
@@ -475,6 +497,7 @@
 	tcase_add_loop_test(tcase, test_head_limit, 0,
 			    sizeof(limit_cases) / sizeof(*limit_cases));
 	tcase_add_test(tcase, test_slow_headers);
+	tcase_add_test(tcase, test_refused_while_sending);
 	tcase_add_test(tcase, test_idle_connection);
 	tcase_add_test(tcase, test_caller_gone);
 	tcase_add_test(tcase, test_large_answer);
