--- a/directory.c
+++ b/directory.c
@@ -247,6 +247,16 @@
 	apr_pool_destroy(pool);
 }
 
+static void delete_key(struct directory *dir, struct cached_key *cached,
+		       uint64_t revision, int64_t now)
+{
+	cached->revision = revision;
+	if (!cached->deleted)
+		apply_deletion(dir, cached, now);
+	cached->deleted = true;
+	cached->deleted_at = now;
+}
+
 /*
  * A source that is older than this replica, such as a node that was cut off or
  * a reply that was under way, still holds keys that were deleted meanwhile. A
@@ -277,14 +287,11 @@
 	cached = cached_key_get(dir, item->key);
 	if (item->revision <= cached->revision)
 		return cached;
-	cached->revision = item->revision;
 	if (item->deleted) {
-		if (!cached->deleted)
-			apply_deletion(dir, cached, now);
-		cached->deleted = true;
-		cached->deleted_at = now;
+		delete_key(dir, cached, item->revision, now);
 		return cached;
 	}
+	cached->revision = item->revision;
 	cached->deleted = false;
 	str_free(cached->value);
 	cached->value = str_heap_dup(item->value);
@@ -312,13 +319,9 @@
 	for (it = apr_hash_first(NULL, dir->keys); it; it = apr_hash_next(it)) {
 		struct cached_key *cached = hash_value(it);
 
-		if (cached->deleted || cached->revision > revision ||
-		    is_present(dir, cached))
-			continue;
-		apply_deletion(dir, cached, now);
-		cached->deleted = true;
-		cached->deleted_at = now;
-		cached->revision = revision;
+		if (!cached->deleted && cached->revision <= revision &&
+		    !is_present(dir, cached))
+			delete_key(dir, cached, revision, now);
 	}
 }
 
