Log lines of refused requests are text; a listener's address is freed

The path is shown with '?' for all but printable ASCII, addresses lie in the pool.

Test: test_printable. Lines of the tier with a request id that is no UTF-8 stay as they were: listed as open.

--- a/edge.c
+++ b/edge.c
@@ -7,6 +7,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <apr_strings.h>
 #include <apr_time.h>
 
 #include "config.h"
@@ -523,6 +524,12 @@
 	return left_us > 0 ? left_us : 0;
 }
 
+static struct str own_addr(struct edge *edge, uint16_t port)
+{
+	return str_of(apr_psprintf(edge->pool, "%.*s:%u",
+				   STR_ARG(edge->settings.ip), port));
+}
+
 static int listen_all(struct edge *edge, uint16_t metrics_port,
 		      uint64_t incarnation, struct error *err)
 {
@@ -532,21 +539,16 @@
 	struct http_handler metrics = { on_metrics_request, NULL, edge };
 	struct caller_limits limits = http_default_limits(BODY_MAX_BYTES);
 	struct caller_limits early = http_default_limits(EARLY_BODY_MAX_BYTES);
-	struct buf addr = { 0 };
 
 	early.header_bytes = EARLY_HEADER_MAX_BYTES;
-	buf_printf(&addr, "%.*s:%u", STR_ARG(edge->settings.ip),
-		   edge->settings.peer_port);
-	edge->peers =
-		peers_create(edge->loop, buf_str(&addr), incarnation,
-			     (struct peer_handler){ on_frame, on_peer_lost,
-						    on_bad_frame, edge },
-			     err);
-	addr.len = 0;
-	if (!edge->peers) {
-		buf_free(&addr);
+	edge->peers = peers_create(
+		edge->loop, own_addr(edge, edge->settings.peer_port),
+		incarnation,
+		(struct peer_handler){ on_frame, on_peer_lost, on_bad_frame,
+				       edge },
+		err);
+	if (!edge->peers)
 		return err->code;
-	}
 	edge->callers = http_listen(edge->loop, edge->settings.caller_addr,
 				    &early, callers, err);
 	if (!edge->callers)
@@ -557,10 +559,8 @@
 		return err->code;
 	if (!metrics_port)
 		return 0;
-	buf_printf(&addr, "%.*s:%u", STR_ARG(edge->settings.ip), metrics_port);
-	edge->metrics =
-		http_listen(edge->loop, buf_str(&addr), &limits, metrics, err);
-	buf_free(&addr);
+	edge->metrics = http_listen(edge->loop, own_addr(edge, metrics_port),
+				    &limits, metrics, err);
 	return edge->metrics ? 0 : err->code;
 }
 
--- a/http.c
+++ b/http.c
@@ -332,14 +332,16 @@
 static void refuse(struct http_conn *conn, int code)
 {
 	struct str uri = buf_str(&conn->parse.uri);
+	struct buf shown = { 0 };
 	struct buf why = { 0 };
 	struct buf body = { 0 };
 
 	if (uri.len > LOGGED_URI_BYTES)
 		uri.len = LOGGED_URI_BYTES;
+	buf_printable_add(&shown, uri);
 	describe_refusal(&conn->server->limits, code, &why);
 	LOG_WARN("refused a request of %.*s for \"%.*s\": %.*s",
-		 STR_ARG(http_client_ip(&conn->req)), STR_ARG(uri),
+		 STR_ARG(http_client_ip(&conn->req)), STR_ARG(buf_str(&shown)),
 		 STR_ARG(buf_str(&why)));
 	buf_add(&why, "", 1);
 	error_json(&body, code, why.ptr, 0);
@@ -349,6 +351,7 @@
 	       STR("Content-Type: application/json\r\n"), buf_str(&body));
 	buf_free(&body);
 	buf_free(&why);
+	buf_free(&shown);
 }
 
 static void deliver(struct http_conn *conn)
--- a/str.c
+++ b/str.c
@@ -116,6 +116,15 @@
 	buf->len += (size_t)len;
 }
 
+void buf_printable_add(struct buf *buf, struct str s)
+{
+	for (size_t i = 0; i < s.len; i++) {
+		bool printable = s.ptr[i] >= ' ' && s.ptr[i] <= '~';
+
+		buf_add(buf, printable ? &s.ptr[i] : "?", 1);
+	}
+}
+
 void buf_json_add(struct buf *buf, struct str s)
 {
 	buf_add(buf, "\"", 1);
--- a/str.h
+++ b/str.h
@@ -88,6 +88,8 @@
 void buf_str_add(struct buf *buf, struct str s);
 void buf_printf(struct buf *buf, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
+/** buf_printable_add() - append @s with '?' for all but printable ASCII. */
+void buf_printable_add(struct buf *buf, struct str s);
 /** buf_json_add() - append @s as a quoted JSON string. */
 void buf_json_add(struct buf *buf, struct str s);
 /** buf_drop() - remove the first @len bytes. */
--- a/tests/check_head.c
+++ b/tests/check_head.c
@@ -81,6 +81,18 @@
 }
 END_TEST
 
+/* Bytes of callers must not make a line of the log unreadable. */
+START_TEST(test_printable)
+{
+	struct buf out = { 0 };
+
+	buf_printable_add(&out, STR("/a b~\"\x01\n\x7f\xc3\xa4\xff/"));
+	ck_assert(str_eq(buf_str(&out), STR("/a b~\"?????"
+					    "?/")));
+	buf_free(&out);
+}
+END_TEST
+
 struct header_case {
 	const char *name;
 	bool forwarded;
@@ -126,6 +138,7 @@
 static void add_tests(TCase *tcase)
 {
 	tcase_add_loop_test(tcase, test_parse_int, 0, COUNT(number_cases));
+	tcase_add_test(tcase, test_printable);
 	tcase_add_loop_test(tcase, test_reply_head, 0, COUNT(reply_cases));
 	tcase_add_loop_test(tcase, test_forwarded_headers, 0,
 			    COUNT(header_cases));
