--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Entries run twice: a late second rejection is taken for the reply to a retry.
+"""Entries that ran are answered 503: a late second rejection passes for a reply.
 
 A leaf that is full rejects an entry (Not-Executed) and sends that answer a
 second time, late. Meanwhile another request used the connection, and the entry
