Tests: the rate of a simulated configuration is read after its version

Cause. decode_record() passed strtoull(value.ptr, &rest, 10) and strtod(rest, NULL) as two arguments of one call. The order in which arguments are evaluated is not defined: gcc takes them from left to right on arm64 and from right to left on x86-64, where strtod() read a pointer that nothing had set. A build folder that was carried over hid it.

Change. decode_catalog() reads the version first, one step a line. No warning is switched off.

Ruled out: the same in another place. All calls that pass &x and read x among their arguments were listed; in the others x is not written by the call, or is read in a later step.

Before: the build from an empty folder ends with that error.

--- a/tests/sim_dialect.c
+++ b/tests/sim_dialect.c
@@ -108,6 +108,15 @@
 	return catalog;
 }
 
+/* The value is "VERSION [COLD_PER_S]". */
+static struct catalog *decode_catalog(struct str value)
+{
+	char *rest;
+	uint64_t version = strtoull(value.ptr, &rest, 10);
+
+	return make_catalog(version, strtod(rest, NULL));
+}
+
 static int decode_record(struct str key, struct str value,
 			 struct store_record *out, apr_pool_t *pool,
 			 struct error *err)
@@ -118,12 +127,10 @@
 	int leaving;
 	long long born;
 	long long cold_ms = 0;
-	char *rest;
 
 	*out = (struct store_record){ .kind = record_kind(key) };
 	if (out->kind == STORE_RECORD_CATALOG)
-		out->catalog = make_catalog(strtoull(value.ptr, &rest, 10),
-					    strtod(rest, NULL));
+		out->catalog = decode_catalog(value);
 	if (out->kind == STORE_RECORD_DOMAIN_OUT)
 		out->domain =
 			str_dup(pool, (struct str){ key.ptr + 6, key.len - 6 });
