A status line that is none ends the try; callers got status 000

What callers saw: a target in trouble sent "HTTP/1.1 000 OK", and the caller got "HTTP/1.1 0 <unknown>" as its answer. So did 0, 00, 001, 020, 099, 2 and 20; 600 to 999 of requests that must not be repeated; 0200, two blanks before the status, HTTP/0.9, 2.0 and 9.9, NUL, 0x01 and DEL in the reason phrase as a success; and a CR in the reason phrase held the caller until its deadline, or, with a field behind it, was a success too.

The parser library is lenient: it adds up whatever digits come, skips blanks, any byte behind a CR and most of a reason phrase. Its result was taken for a reply, and status / 100 == 0 is "final, and below 500" in forward.c.

The node's line of the try has "result":"reply","status":0 and its final answer is that reply. check-broken feeds each form to the parser whole, byte by byte and cut at each place: of 40 status lines 25 gave a reply or no failure, all as written. test_broken_status_is_no_answer has stand-in targets send them to a real node: 000 came back as status 0 for GET and POST, 0200 as a part of a merged answer, "O\rK" as 504 after 1.501 s.

Change. reply_syntax.c reads the status line byte by byte by the grammar of RFC 9112, and the parser gets no byte that it has not accepted. What does not match is FETCH_MALFORMED, as other bytes that are no reply were before: the try fails and its connection closes at once, the target counts as failed, reads go to another target, and what may have run is answered 502, never "not run".

Why it works: the rule says what a status line is, so that a form that nobody thought of needs no line of its own. Accepted, as the grammar or its notes on robust recipients have it: HTTP/1.0 to 1.9, 100 to 599, no reason phrase with or without its blank, 8-bit reasons, line ends without CR, empty lines first.

Ruled out: a check of the number in forward.c alone. It would leave 0200, two blanks and the CR, and the parts of merged answers, which look at status / 100.

--- a/reply.c
+++ b/reply.c
@@ -9,6 +9,8 @@
 	 */
 	FRAMING_MAX_BYTES = 1024 * 1024,
 	FRAMING_PER_BYTE_MAX = 16,
+	/* Result of a callback: there is no body behind the headers. */
+	SKIP_BODY = 1,
 };
 
 /* Trailer fields behind a body in chunks are neither headers nor body. */
@@ -56,7 +58,7 @@
 	reply->in_body = true;
 	reply->skip = reply->parser.status_code / 100 != 1 && is_foreign(reply);
 	reply->skipped += reply->skip;
-	return reply->no_body ? 1 : 0;
+	return reply->no_body ? SKIP_BODY : 0;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t len)
@@ -69,20 +71,21 @@
 	return 0;
 }
 
+/* Pauses, so that the caller of the parser learns where the reply ends. */
 static int on_message_complete(http_parser *parser)
 {
 	struct reply *reply = parser->data;
 
 	reply->closes_after = !http_should_keep_alive(parser);
+	reply->in_body = false;
+	http_parser_pause(parser, 1);
 	if (parser->status_code / 100 == 1 || reply->skip) {
 		headers_clear(&reply->headers);
 		reply->body.len = 0;
-		reply->in_body = false;
 		reply->skip = false;
 		return 0;
 	}
 	reply->done = true;
-	http_parser_pause(parser, 1);
 	return 0;
 }
 
@@ -115,6 +118,7 @@
 	reply->foreign = 0;
 	headers_clear(&reply->headers);
 	reply->body.len = 0;
+	reply_syntax_head(&reply->syntax);
 	reply->in_body = false;
 	reply->skip = false;
 	reply->done = false;
@@ -129,19 +133,61 @@
 	buf_free(&reply->body);
 }
 
-ssize_t reply_parse(struct reply *reply, const char *bytes, size_t len)
+/* Return: bytes parsed, up to the end of the reply, or -1. */
+static ssize_t execute(struct reply *reply, const char *bytes, size_t len)
 {
-	unsigned int skipped = reply->skipped;
 	size_t used = http_parser_execute(&reply->parser, &parser_callbacks,
 					  bytes, len);
+	enum http_errno result = HTTP_PARSER_ERRNO(&reply->parser);
 
-	if (reply->skip || reply->skipped != skipped)
-		reply->foreign += used;
+	if (result == HPE_PAUSED)
+		http_parser_pause(&reply->parser, 0);
+	return result == HPE_OK || result == HPE_PAUSED ? (ssize_t)used : -1;
+}
+
+/* The parser gets no byte that the grammar has not accepted. */
+static ssize_t parse_head(struct reply *reply, const char *bytes, size_t len)
+{
+	ssize_t used = reply_syntax_check(&reply->syntax, bytes, len);
+	bool complete = reply_syntax_complete(&reply->syntax);
+
+	if (used < 0 || execute(reply, bytes, (size_t)used) != used)
+		return -1;
+	if (!complete)
+		return reply->in_body ? -1 : used;
+	reply_syntax_head(&reply->syntax);
+	return used;
+}
+
+static ssize_t parse_some(struct reply *reply, const char *bytes, size_t len)
+{
+	unsigned int skipped = reply->skipped;
+	ssize_t used;
+
+	if (!reply->in_body)
+		used = parse_head(reply, bytes, len);
 	else
-		reply->received += used;
-	if (!reply->done &&
-	    (HTTP_PARSER_ERRNO(&reply->parser) != HPE_OK || is_endless(reply)))
+		used = execute(reply, bytes, len);
+	if (used < 0)
 		return -1;
+	if (reply->skip || reply->skipped != skipped)
+		reply->foreign += (size_t)used;
+	else
+		reply->received += (size_t)used;
+	return used;
+}
+
+ssize_t reply_parse(struct reply *reply, const char *bytes, size_t len)
+{
+	size_t used = 0;
+
+	while (used < len && !reply->done) {
+		ssize_t n = parse_some(reply, bytes + used, len - used);
+
+		if (n < 0 || (!reply->done && is_endless(reply)))
+			return -1;
+		used += (size_t)n;
+	}
 	return (ssize_t)used;
 }
 
--- a/reply.h
+++ b/reply.h
@@ -1,14 +1,15 @@
 #pragma once
 
 #include "headers.h"
+#include "reply_syntax.h"
 
 /**
  * DOC: incremental parser of an HTTP reply
  *
  * Assembles a reply from the bytes of a connection. Interim (1xx) replies and
- * replies that do not name the request are skipped; bytes that are not HTTP and
- * replies that are too large are errors. So are bytes that come without end
- * and are part of no reply.
+ * replies that do not name the request are skipped; bytes that are not HTTP/1.1
+ * by its grammar and replies that are too large are errors. So are bytes that
+ * come without end and are part of no reply.
  */
 
 /**
@@ -19,7 +20,8 @@
  *                    request's id; a reply with another value, or without it,
  *                    belongs to no request or an earlier one. If @echo is
  *                    empty, the reply has no such header
- * @in_body: the headers are complete
+ * @syntax: position in the head
+ * @in_body: the headers are complete, but not the reply
  * @skip: this reply does not name the request
  * @skipped: number of such replies since the caller last cleared it
  * @received: bytes received for this reply, but for @foreign
@@ -35,6 +37,7 @@
 	bool no_body;
 	struct buf echo_name;
 	struct buf echo;
+	struct reply_syntax syntax;
 	bool in_body;
 	bool skip;
 	unsigned int skipped;
--- /dev/null
+++ b/reply_syntax.c
@@ -0,0 +1,154 @@
+#include "reply_syntax.h"
+
+#include <apr_lib.h>
+
+enum {
+	STATUS_DIGITS = 3,
+	STATUS_CLASS_MAX = 5,
+};
+
+static const char version[] = "HTTP/1.";
+
+/* A byte of a reason phrase. */
+static bool is_text_char(unsigned char c)
+{
+	return c == '\t' || (c >= ' ' && c != 0x7f);
+}
+
+static void enter(struct reply_syntax *syntax, enum syntax_state state)
+{
+	syntax->state = state;
+	syntax->index = 0;
+}
+
+/* The steps take the next byte; a line end is '\n', with or without a CR. */
+
+static bool take_version(struct reply_syntax *syntax, unsigned char c)
+{
+	unsigned int index = syntax->index++;
+
+	if (index < sizeof(version) - 1)
+		return c == (unsigned char)version[index];
+	if (index == sizeof(version) - 1)
+		return apr_isdigit(c);
+	enter(syntax, SYNTAX_STATUS);
+	syntax->status = 0;
+	return c == ' ';
+}
+
+static bool take_empty_lines(struct reply_syntax *syntax, unsigned char c)
+{
+	if (c == '\n')
+		return true;
+	enter(syntax, SYNTAX_VERSION);
+	return take_version(syntax, c);
+}
+
+static bool take_status(struct reply_syntax *syntax, unsigned char c)
+{
+	if (!apr_isdigit(c))
+		return false;
+	if (!syntax->index && (c == '0' || c > '0' + STATUS_CLASS_MAX))
+		return false;
+	syntax->status = syntax->status * 10 + (c - '0');
+	if (++syntax->index == STATUS_DIGITS)
+		enter(syntax, SYNTAX_STATUS_END);
+	return true;
+}
+
+static void begin_lines(struct reply_syntax *syntax)
+{
+	enter(syntax, SYNTAX_LINE);
+}
+
+static bool take_status_end(struct reply_syntax *syntax, unsigned char c)
+{
+	if (c == '\n')
+		begin_lines(syntax);
+	else
+		enter(syntax, SYNTAX_REASON);
+	return c == '\n' || c == ' ';
+}
+
+static bool take_reason(struct reply_syntax *syntax, unsigned char c)
+{
+	if (c != '\n')
+		return is_text_char(c);
+	begin_lines(syntax);
+	return true;
+}
+
+static bool take_line(struct reply_syntax *syntax, unsigned char c)
+{
+	if (c == '\n') {
+		enter(syntax, SYNTAX_COMPLETE);
+		return true;
+	}
+	if (c == ' ' || c == '\t') {
+		enter(syntax, SYNTAX_VALUE);
+		return true;
+	}
+	enter(syntax, SYNTAX_NAME);
+	return true;
+}
+
+static bool take_name(struct reply_syntax *syntax, unsigned char c)
+{
+	if (c == ':')
+		enter(syntax, SYNTAX_VALUE);
+	return c != '\n';
+}
+
+static bool take_value(struct reply_syntax *syntax, unsigned char c)
+{
+	if (c == '\n')
+		enter(syntax, SYNTAX_LINE);
+	return true;
+}
+
+static bool (*const steps[SYNTAX_STATES])(struct reply_syntax *syntax,
+					  unsigned char c) = {
+	[SYNTAX_EMPTY_LINES] = take_empty_lines,
+	[SYNTAX_VERSION] = take_version,
+	[SYNTAX_STATUS] = take_status,
+	[SYNTAX_STATUS_END] = take_status_end,
+	[SYNTAX_REASON] = take_reason,
+	[SYNTAX_LINE] = take_line,
+	[SYNTAX_NAME] = take_name,
+	[SYNTAX_VALUE] = take_value,
+};
+
+/* A CR is a part of a line end, or none of a reply. */
+static bool take(struct reply_syntax *syntax, unsigned char c)
+{
+	bool ends_line = syntax->after_cr;
+
+	syntax->after_cr = c == '\r';
+	if (syntax->after_cr)
+		return !ends_line;
+	if (ends_line && c != '\n')
+		return false;
+	return steps[syntax->state](syntax, c);
+}
+
+void reply_syntax_head(struct reply_syntax *syntax)
+{
+	*syntax = (struct reply_syntax){ .state = SYNTAX_EMPTY_LINES };
+}
+
+ssize_t reply_syntax_check(struct reply_syntax *syntax, const char *bytes,
+			   size_t len)
+{
+	size_t used = 0;
+
+	while (used < len && !reply_syntax_complete(syntax)) {
+		if (!take(syntax, (unsigned char)bytes[used++]))
+			return -1;
+	}
+	return (ssize_t)used;
+}
+
+bool reply_syntax_complete(const struct reply_syntax *syntax)
+{
+	return syntax->state == SYNTAX_COMPLETE;
+}
--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -186,6 +186,8 @@
         self.born = int(time.time() * 1000)
         self.on_crash = None  # called when a request crashes the target
         self.reply_headers = {}  # besides those that every reply has
+        self.make_reply = None  # (headers, body) -> bytes of another form
+        self.byte_by_byte = False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1",
@@ -229,10 +231,21 @@
         parts = part_records(self.id, request_id)
         random.shuffle(parts)
         out = body or b"".join(parts)
-        return response(200, {"Request-Id": request_id,
-                              "Response-Stamp": f"{self.id}.{request_id}",
-                              "Server-Load": "1,0,2",
-                              **self.reply_headers}, out)
+        headers = {"Request-Id": request_id,
+                   "Response-Stamp": f"{self.id}.{request_id}",
+                   "Server-Load": "1,0,2", **self.reply_headers}
+        if self.make_reply:
+            return self.make_reply(headers, out)
+        return response(200, headers, out)
+
+    async def write_reply(self, writer, reply):
+        if not self.byte_by_byte:
+            writer.write(reply)
+            return
+        for byte in reply:
+            writer.write(bytes((byte,)))
+            await writer.drain()
+            await asyncio.sleep(0)
 
     @staticmethod
     def write_late(writer, reply):
@@ -252,7 +265,7 @@
                 reply = await self.handle_request(head, body)
                 if reply is None:
                     break
-                writer.write(reply)
+                await self.write_reply(writer, reply)
                 if random.random() < self.copy_share:
                     asyncio.get_running_loop().call_later(
                         random.uniform(*COPY_DELAY_S), self.write_late,
--- /dev/null
+++ b/tests/check_broken.c
@@ -0,0 +1,264 @@
+/*
+ * Tests of the parser of replies: bytes that are no reply in HTTP/1.1 must fail
+ * at once, however they arrive, and no sound reply may fail.
+ *
+ * The judge is the grammar of RFC 9112. Where it leaves the choice to the
+ * recipient, the name of the case says "may".
+ */
+#include <stdlib.h>
+
+#include <check.h>
+
+#include "../reply.h"
+#include "suite.h"
+
+#define COUNT(table) (int)(sizeof(table) / sizeof(*(table)))
+#define BYTES(lit) \
+	{ \
+		lit, sizeof(lit) - 1 \
+	}
+
+#define ID "Request-Id: r1\r\n"
+#define STAMP "Response-Stamp: s1\r\n"
+#define OK_LINE "HTTP/1.1 200 OK\r\n"
+#define HEAD OK_LINE ID STAMP
+#define LENGTH "Content-Length: 3\r\n"
+#define REST ID STAMP LENGTH "\r\none"
+#define CHUNKED "Transfer-Encoding: chunked\r\n"
+
+enum {
+	BODY_MAX = 1024 * 1024,
+};
+
+/** struct broken - bytes of which no reply may come */
+struct broken {
+	const char *name;
+	struct str bytes;
+};
+
+static const struct broken broken_status_lines[] = {
+	{ "000", BYTES("HTTP/1.1 000 OK\r\n" REST) },
+	{ "0", BYTES("HTTP/1.1 0 OK\r\n" REST) },
+	{ "00", BYTES("HTTP/1.1 00 OK\r\n" REST) },
+	{ "001", BYTES("HTTP/1.1 001 OK\r\n" REST) },
+	{ "020", BYTES("HTTP/1.1 020 OK\r\n" REST) },
+	{ "099", BYTES("HTTP/1.1 099 OK\r\n" REST) },
+	{ "2", BYTES("HTTP/1.1 2 OK\r\n" REST) },
+	{ "20", BYTES("HTTP/1.1 20 OK\r\n" REST) },
+	{ "0200", BYTES("HTTP/1.1 0200 OK\r\n" REST) },
+	{ "600", BYTES("HTTP/1.1 600 OK\r\n" REST) },
+	{ "700", BYTES("HTTP/1.1 700 OK\r\n" REST) },
+	{ "999", BYTES("HTTP/1.1 999 OK\r\n" REST) },
+	{ "1000", BYTES("HTTP/1.1 1000 OK\r\n" REST) },
+	{ "-200", BYTES("HTTP/1.1 -200 OK\r\n" REST) },
+	{ "+200", BYTES("HTTP/1.1 +200 OK\r\n" REST) },
+	{ "0x200", BYTES("HTTP/1.1 0x200 OK\r\n" REST) },
+	{ "4294967496", BYTES("HTTP/1.1 4294967496 OK\r\n" REST) },
+	{ "no status", BYTES("HTTP/1.1\r\n" REST) },
+	{ "an empty status", BYTES("HTTP/1.1 \r\n" REST) },
+	{ "no blank behind it", BYTES("HTTP/1.1 200OK\r\n" REST) },
+	{ "a tab behind it", BYTES("HTTP/1.1 200\tOK\r\n" REST) },
+	{ "a tab before it", BYTES("HTTP/1.1\t200 OK\r\n" REST) },
+	{ "two blanks before it", BYTES("HTTP/1.1  200 OK\r\n" REST) },
+	{ "HTTP/0.9", BYTES("HTTP/0.9 200 OK\r\n" REST) },
+	{ "HTTP/2.0", BYTES("HTTP/2.0 200 OK\r\n" REST) },
+	{ "HTTP/9.9", BYTES("HTTP/9.9 200 OK\r\n" REST) },
+	{ "HTTP/1", BYTES("HTTP/1 200 OK\r\n" REST) },
+	{ "HTTP/1.", BYTES("HTTP/1. 200 OK\r\n" REST) },
+	{ "HTTP/1.10", BYTES("HTTP/1.10 200 OK\r\n" REST) },
+	{ "http/1.1", BYTES("http/1.1 200 OK\r\n" REST) },
+	{ "a blank before it", BYTES(" HTTP/1.1 200 OK\r\n" REST) },
+	{ "NUL in the reason", BYTES("HTTP/1.1 200 O\0K\r\n" REST) },
+	{ "0x01 in the reason", BYTES("HTTP/1.1 200 O\001K\r\n" REST) },
+	{ "DEL in the reason", BYTES("HTTP/1.1 200 O\177K\r\n" REST) },
+	{ "CR in the reason", BYTES("HTTP/1.1 200 O\rK\r\n" REST) },
+	{ "a field behind a CR", BYTES("HTTP/1.1 200 O\rK" REST) },
+	{ "CR alone behind it", BYTES("HTTP/1.1 200 OK\r" REST) },
+	{ "000 before a reply",
+	  BYTES("HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n" HEAD LENGTH
+		"\r\none") },
+	{ "000 in another request's reply",
+	  BYTES("HTTP/1.1 000 OK\r\nRequest-Id: r0\r\n"
+		"Content-Length: 0\r\n\r\n" HEAD LENGTH "\r\none") },
+	{ "000 behind an interim reply",
+	  BYTES("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n" REST) },
+};
+
+/** struct sound - a reply that must be served; @eof: it ends with its
+ * connection */
+struct sound {
+	const char *name;
+	struct str bytes;
+	int status;
+	const char *body;
+	bool eof;
+};
+
+static const struct sound sound[] = {
+	{ "plain", BYTES(OK_LINE REST), 200, "one", false },
+	{ "may: no reason phrase and no blank", BYTES("HTTP/1.1 200\r\n" REST),
+	  200, "one", false },
+	{ "an empty reason phrase", BYTES("HTTP/1.1 200 \r\n" REST), 200, "one",
+	  false },
+	{ "8-bit, blanks and a tab in the reason",
+	  BYTES("HTTP/1.1 200  \344\tO K \r\n" REST), 200, "one", false },
+	{ "HTTP/1.0", BYTES("HTTP/1.0 200 OK\r\n" REST), 200, "one", false },
+	{ "HTTP/1.9", BYTES("HTTP/1.9 200 OK\r\n" REST), 200, "one", false },
+	{ "a status without a phrase of its own",
+	  BYTES("HTTP/1.1 299 Fine\r\n" REST), 299, "one", false },
+	{ "the last status", BYTES("HTTP/1.1 599 Bad\r\n" REST), 599, "one",
+	  false },
+	{ "may: line ends without CR",
+	  BYTES("HTTP/1.1 200 OK\nRequest-Id: r1\nContent-Length: 3\n\none"),
+	  200, "one", false },
+	{ "may: empty lines first", BYTES("\r\n\n" OK_LINE REST), 200, "one",
+	  false },
+	{ "8-bit in a value", BYTES(OK_LINE "X: \344\377\200\r\n" REST), 200,
+	  "one", false },
+	{ "tabs in a value", BYTES(OK_LINE "X:\ta\tb\t\r\n" REST), 200, "one",
+	  false },
+	{ "an empty value", BYTES(OK_LINE "X:\r\nY: \r\n" REST), 200, "one",
+	  false },
+	{ "a colon in a value", BYTES(OK_LINE "X: a: b :c\r\n" REST), 200,
+	  "one", false },
+	{ "no blank behind the colon", BYTES(OK_LINE "X:a\r\n" REST), 200,
+	  "one", false },
+	{ "any token as a name",
+	  BYTES(OK_LINE "!#$%&'*+-.^_`|~09azAZ: 1\r\n" REST), 200, "one",
+	  false },
+	{ "may: a folded line", BYTES(OK_LINE "X: a\r\n b\r\n\tc\r\n" REST),
+	  200, "one", false },
+	{ "may: a folded line of blanks", BYTES(OK_LINE "X: a\r\n \r\n" REST),
+	  200, "one", false },
+	{ "a field twice", BYTES(OK_LINE "X: 1\r\nX: 2\r\n" REST), 200, "one",
+	  false },
+	{ "may: the id twice, the same", BYTES(OK_LINE ID REST), 200, "one",
+	  false },
+	{ "blanks about the length",
+	  BYTES(HEAD "Content-Length:   3  \r\n\r\none"), 200, "one", false },
+	{ "a length with zeros", BYTES(HEAD "Content-Length: 0003\r\n\r\none"),
+	  200, "one", false },
+	{ "no length", BYTES(HEAD "\r\none"), 200, "one", true },
+	{ "chunks", BYTES(HEAD CHUNKED "\r\n2\r\non\r\n1\r\ne\r\n0\r\n\r\n"),
+	  200, "one", false },
+	{ "chunks, named in capitals",
+	  BYTES(HEAD "Transfer-Encoding: CHUNKED\r\n\r\n"
+		     "3\r\none\r\n0\r\n\r\n"),
+	  200, "one", false },
+	{ "chunks with extensions",
+	  BYTES(HEAD CHUNKED "\r\n003;a=\"b c\";d\r\none\r\n00;e\r\n\r\n"), 200,
+	  "one", false },
+	{ "a line end in a chunk",
+	  BYTES(HEAD CHUNKED "\r\n5\r\n\r\n\001\r\r\r\n0\r\n\r\n"), 200,
+	  "\r\n\001\r\r", false },
+	{ "chunks with trailer fields",
+	  BYTES(HEAD CHUNKED "\r\n3\r\none\r\n0\r\nX: 1\r\nY:\r\n\r\n"), 200,
+	  "one", false },
+	{ "204", BYTES("HTTP/1.1 204 No Content\r\n" ID "\r\n"), 204, "",
+	  false },
+	{ "behind interim replies",
+	  BYTES("HTTP/1.1 100 Continue\r\n\r\n"
+		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" OK_LINE REST),
+	  200, "one", false },
+	{ "behind another request's reply",
+	  BYTES("HTTP/1.1 500 No\r\nRequest-Id: r0\r\n" CHUNKED
+		"\r\n2\r\nno\r\n0\r\n\r\n" OK_LINE REST),
+	  200, "one", false },
+};
+
+static void begin(struct reply *reply)
+{
+	*reply = (struct reply){ .body_max = BODY_MAX };
+	buf_str_add(&reply->echo_name, STR("Request-Id"));
+	buf_str_add(&reply->echo, STR("r1"));
+	reply_reset(reply);
+}
+
+/** feed() - parse @bytes in pieces. Return: whether the parser failed */
+static bool feed(struct reply *reply, struct str bytes, size_t first,
+		 size_t piece)
+{
+	size_t at = 0;
+	size_t len = first;
+
+	while (at < bytes.len && !reply->done) {
+		if (len > bytes.len - at)
+			len = bytes.len - at;
+		if (reply_parse(reply, bytes.ptr + at, len) < 0)
+			return true;
+		at += len;
+		len = piece;
+	}
+	return false;
+}
+
+static void check_broken(const struct broken *c, size_t first, size_t piece)
+{
+	struct reply reply;
+	bool failed;
+
+	begin(&reply);
+	failed = feed(&reply, c->bytes, first, piece);
+	ck_assert_msg(failed, "%s, %zu bytes and pieces of %zu: %s, status %u",
+		      c->name, first, piece,
+		      reply.done ? "accepted" : "no failure",
+		      reply.parser.status_code);
+	reply_free(&reply);
+}
+
+/* Whole, byte by byte, and cut in two at each place. */
+static void check_broken_in_pieces(const struct broken *c)
+{
+	check_broken(c, c->bytes.len, 1);
+	check_broken(c, 1, 1);
+	for (size_t cut = 1; cut < c->bytes.len; cut++)
+		check_broken(c, cut, c->bytes.len);
+}
+
+static void check_sound(const struct sound *c, size_t first, size_t piece)
+{
+	struct reply reply;
+	bool failed;
+
+	begin(&reply);
+	failed = feed(&reply, c->bytes, first, piece);
+	if (c->eof)
+		reply_eof(&reply);
+	ck_assert_msg(!failed && reply.done,
+		      "%s, %zu bytes and pieces of %zu: refused", c->name,
+		      first, piece);
+	ck_assert_int_eq((int)reply.parser.status_code, c->status);
+	ck_assert(str_eq(buf_str(&reply.body), str_of(c->body)));
+	reply_free(&reply);
+}
+
+/* An answer of status 000, and others that are none, reached callers. */
+START_TEST(test_broken_status_line)
+{
+	check_broken_in_pieces(&broken_status_lines[_i]);
+}
+END_TEST
+
+/* A sound reply that is refused is run again elsewhere, or lost. */
+START_TEST(test_sound)
+{
+	const struct sound *c = &sound[_i];
+
+	check_sound(c, c->bytes.len, 1);
+	check_sound(c, 1, 1);
+	for (size_t cut = 1; cut < c->bytes.len; cut++)
+		check_sound(c, cut, c->bytes.len);
+}
+END_TEST
+
+static void add_tests(TCase *tcase)
+{
+	tcase_add_loop_test(tcase, test_broken_status_line, 0,
+			    COUNT(broken_status_lines));
+	tcase_add_loop_test(tcase, test_sound, 0, COUNT(sound));
+}
+
+int main(void)
+{
+	return suite_run("broken replies", add_tests);
+}
--- a/tests/run.py
+++ b/tests/run.py
@@ -21,6 +21,7 @@
 NAME_FILTER = sys.argv[2] if len(sys.argv) > 2 else ""
 
 import process  # noqa: E402  (needs BUILD)
+import tier_answers  # noqa: E402  (needs BUILD)
 import tier_limits  # noqa: E402  (needs BUILD)
 import tier_process  # noqa: E402  (needs BUILD)
 
@@ -118,7 +119,7 @@
                  "check-head", "check-start", "check-stop",
                  "check-stop-serve", "check-poison", "check-deadly",
                  "check-deadly-serve", "check-parts", "check-platform",
-                 "check-config", "check-http", "check-upstream", "check-reply", "check-peer"):
+                 "check-config", "check-http", "check-upstream", "check-reply", "check-broken", "check-peer"):
         yield name, lambda n=name: run_check(n)
     yield "fuzz", lambda: run_program(
         "fuzz", f"{BUILD}/tests/fuzz", "1", FUZZ_SEEDS)
@@ -158,7 +159,7 @@
         "soak copies", sys.executable, "soak/soak.py",
         f"{BUILD}/wasabimoor", *SOAK_SEEDS, *COPIES_SOAK)
     for i, test in enumerate(process.TESTS + tier_process.TESTS +
-                             tier_limits.TESTS):
+                             tier_limits.TESTS + tier_answers.TESTS):
         yield test.__name__, lambda t=test, b=(
             FIRST_PORT + PORTS_PER_TEST * i): run_process(t, b)
 
--- /dev/null
+++ b/tests/tier_answers.py
@@ -0,0 +1,184 @@
+"""Process tests of the tier: what a target sends that is no answer."""
+
+import argparse
+import asyncio
+import os
+import sys
+import time
+from typing import NamedTuple
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                "..", "soak"))
+from fleet import Fleet  # noqa: E402  (in soak/)
+
+FIRST_NET, SEED = 90, 1
+# Well before the deadline of a request: a broken answer ends it at once.
+ANSWER_S = 1.0
+KINDS = ("one", "once", "all")
+
+
+class Form(NamedTuple):
+    """An answer: its status line, more field lines, and its framing."""
+    status_line: bytes = b"HTTP/1.1 200 OK\r\n"
+    fields: bytes = b""
+    chunked: bool = False
+
+    def bytes(self, headers, body):
+        lines = [self.status_line, self.fields]
+        lines += [f"{k}: {v}\r\n".encode() for k, v in headers.items()]
+        if self.chunked:
+            return b"".join(lines) + (
+                b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n"
+                % (len(body), body))
+        return b"".join(lines) + (
+            b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+
+
+BROKEN_STATUS_LINES = {line: Form(line.encode("latin-1") + b"\r\n") for line in (
+    "HTTP/1.1 000 OK", "HTTP/1.1 0 OK", "HTTP/1.1 099 OK", "HTTP/1.1 20 OK",
+    "HTTP/1.1 0200 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+    "HTTP/1.1  200 OK", "HTTP/2.0 200 OK", "HTTP/1.1 200 O\0K",
+    "HTTP/1.1 200 O\rK")}
+SOUND = {
+    "plain": Form(),
+    "chunked": Form(chunked=True),
+    "no reason phrase": Form(b"HTTP/1.1 200\r\n"),
+    "an 8-bit reason phrase": Form(b"HTTP/1.1 200 \xe4\r\n"),
+    "a line end without CR": Form(b"HTTP/1.1 200 OK\n"),
+    "an 8-bit value": Form(fields=b"X-Note: \xe4\xff\r\n"),
+    "a folded line": Form(fields=b"X-Note: a\r\n b\r\n"),
+    "a name of all signs": Form(fields=b"!#$%&'*+-.^_`|~: 1\r\n"),
+}
+
+
+class Answer(NamedTuple):
+    """What a caller got, and whether a target ran the request."""
+    status: int
+    headers: dict
+    body: bytes
+    seconds: float
+    ran: bool
+
+
+async def ask(fleet, kind, request_id):
+    start = time.monotonic()
+    reply = await asyncio.wait_for(
+        fleet.send_request(0, kind, request_id), 4)
+    return Answer(*(reply or (0, {}, b"")), time.monotonic() - start,
+                  request_id in fleet.execution_log.runs)
+
+
+def run_scenario(port, scenario):
+    args = argparse.Namespace(shape="small", nodes=1, port=port, seconds=1,
+                              net=FIRST_NET + port // 400 % 10)
+    fleet = Fleet(os.environ["BUILD"] + "/wasabimoor", SEED, args)
+
+    async def whole():
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        await fleet.start_all()
+        await scenario(fleet)
+
+    try:
+        asyncio.run(whole())
+    finally:
+        fleet.close()
+    assert not fleet.violations, fleet.violations
+
+
+def send_form(targets, form, byte_by_byte=False):
+    for target in targets:
+        target.make_reply = form.bytes if form else None
+        target.byte_by_byte = byte_by_byte
+
+
+async def ask_until_run(fleet, kind, request_id):
+    """Targets that fail are avoided for a while, and requests refused."""
+    for attempt in range(40):
+        answer = await ask(fleet, kind, f"{request_id}-{attempt}")
+        if answer.ran:
+            return answer
+        assert answer.status == 503, answer
+        await asyncio.sleep(0.1)
+    raise AssertionError(f"{request_id}: no target ran it")
+
+
+async def check_request(fleet, kind, request_id):
+    """The request has failed, as it may have run; not at its deadline."""
+    answer = await ask_until_run(fleet, kind, request_id)
+    if answer.status != 502 or answer.seconds > ANSWER_S:
+        return [f"status {answer.status} after {answer.seconds:.3f} s"]
+    return []
+
+
+async def check_part(fleet, request_id):
+    """The other parts are served; the checks of the fleet apply."""
+    answer = await ask(fleet, "all", request_id)
+    fleet.check_reply("all", request_id, answer[:3])
+    missing = answer.headers.get("missing-parts")
+    if answer.status != 200 or missing != "1" or answer.seconds > ANSWER_S:
+        return [f"status {answer.status} after {answer.seconds:.3f} s, "
+                f"{missing} parts missing"]
+    return []
+
+
+async def check_no_answer(fleet, name, form):
+    """All targets of the service "single" and of one shard send the form."""
+    faulty = [t for t in fleet.targets if t.service in ("single", "s0")]
+    found = []
+    for byte_by_byte in (False, True):
+        send_form(faulty, form, byte_by_byte)
+        for kind in KINDS:
+            request_id = f"r{len(fleet.requests)}"
+            texts = (await check_part(fleet, request_id) if kind == "all"
+                     else await check_request(fleet, kind, request_id))
+            found += [f"{name!r}, {kind}, by bytes: {byte_by_byte}: {text}"
+                      for text in texts]
+    return found
+
+
+def check_forms(port, forms):
+    async def scenario(fleet):
+        failed = []
+        for name, form in forms.items():
+            failed += await check_no_answer(fleet, name, form)
+        assert not failed, "\n".join(failed)
+    run_scenario(port, scenario)
+
+
+def test_broken_status_is_no_answer(port):
+    """An answer of status 000 was passed on to the caller as it was."""
+    check_forms(port, BROKEN_STATUS_LINES)
+
+
+def test_broken_answer_of_one_target(port):
+    """One target that sends broken answers costs no read: they run again at
+    another one, and nothing of the broken answer reaches the caller."""
+    async def scenario(fleet):
+        single = [t for t in fleet.targets if t.service == "single"]
+        send_form(single[:1], BROKEN_STATUS_LINES["HTTP/1.1 000 OK"])
+        for i in range(40):
+            answer = await ask(fleet, "one", f"read-{i}")
+            assert answer.status == 200 and len(answer.body) == 48, answer
+    run_scenario(port, scenario)
+
+
+def test_sound_answers_served(port):
+    """A rule for broken answers must not refuse sound ones."""
+    async def scenario(fleet):
+        failed = []
+        for name, form in SOUND.items():
+            for kind in KINDS:
+                for byte_by_byte in (False, True):
+                    send_form(fleet.targets, form, byte_by_byte)
+                    answer = await ask(
+                        fleet, kind,
+                        f"s{len(fleet.requests)}")
+                    if answer.status != 200 or not answer.body:
+                        failed.append(f"{name}, {kind}, by bytes: "
+                                      f"{byte_by_byte}: {answer}")
+        assert not failed, "\n".join(failed)
+    run_scenario(port, scenario)
+
+
+TESTS = [test_broken_status_is_no_answer, test_broken_answer_of_one_target,
+         test_sound_answers_served]
