Chunks and trailer fields of a reply are read by the grammar too

What callers saw: a body that was not the target's. A target whose chunk is longer than its size ("3", then "onexx") gave "one" as a complete answer; a trailer field whose name has a blank, 0x01 in a chunk's extension and a CR in place of the last line gave a success. Behind a CR in place of the line end of a chunk the caller was held.

The parser library, built without its strict mode, drops the two bytes behind a chunk whatever they are, and what follows a CR.

The rule of the head reads chunks and, with the steps of the head's fields, trailers. As there, the parser gets a byte after the grammar, and both have to find the same end.

--- a/reply.c
+++ b/reply.c
@@ -56,6 +56,7 @@
 	struct reply *reply = parser->data;
 
 	reply->in_body = true;
+	reply->chunked = !reply->no_body && parser->flags & F_CHUNKED;
 	reply->skip = reply->parser.status_code / 100 != 1 && is_foreign(reply);
 	reply->skipped += reply->skip;
 	return reply->no_body ? SKIP_BODY : 0;
@@ -119,6 +120,7 @@
 	headers_clear(&reply->headers);
 	reply->body.len = 0;
 	reply_syntax_head(&reply->syntax);
+	reply->chunked = false;
 	reply->in_body = false;
 	reply->skip = false;
 	reply->done = false;
@@ -155,7 +157,23 @@
 		return -1;
 	if (!complete)
 		return reply->in_body ? -1 : used;
-	reply_syntax_head(&reply->syntax);
+	if (reply->in_body && reply->chunked)
+		reply_syntax_chunks(&reply->syntax);
+	else
+		reply_syntax_head(&reply->syntax);
+	return used;
+}
+
+static ssize_t parse_chunks(struct reply *reply, const char *bytes, size_t len)
+{
+	ssize_t used = reply_syntax_check(&reply->syntax, bytes, len);
+	bool complete = reply_syntax_complete(&reply->syntax);
+
+	if (used < 0 || execute(reply, bytes, (size_t)used) != used ||
+	    complete == reply->in_body)
+		return -1;
+	if (complete)
+		reply_syntax_head(&reply->syntax);
 	return used;
 }
 
@@ -166,6 +184,8 @@
 
 	if (!reply->in_body)
 		used = parse_head(reply, bytes, len);
+	else if (reply->chunked)
+		used = parse_chunks(reply, bytes, len);
 	else
 		used = execute(reply, bytes, len);
 	if (used < 0)
--- a/reply.h
+++ b/reply.h
@@ -20,7 +20,8 @@
  *                    request's id; a reply with another value, or without it,
  *                    belongs to no request or an earlier one. If @echo is
  *                    empty, the reply has no such header
- * @syntax: position in the head
+ * @syntax: position in the head, or in the chunks of the body
+ * @chunked: the body comes in chunks
  * @in_body: the headers are complete, but not the reply
  * @skip: this reply does not name the request
  * @skipped: number of such replies since the caller last cleared it
@@ -38,6 +39,7 @@
 	struct buf echo_name;
 	struct buf echo;
 	struct reply_syntax syntax;
+	bool chunked;
 	bool in_body;
 	bool skip;
 	unsigned int skipped;
--- a/reply_syntax.c
+++ b/reply_syntax.c
@@ -7,11 +7,13 @@
 enum {
 	STATUS_DIGITS = 3,
 	STATUS_CLASS_MAX = 5,
+	/* Of a size in 64 bits, zeros before it included. */
+	SIZE_DIGITS_MAX = 16,
 };
 
 static const char version[] = "HTTP/1.";
 
-/* A byte of a reason phrase or a value. */
+/* A byte of a reason phrase, a value or a chunk's extension. */
 static bool is_text_char(unsigned char c)
 {
 	return c == '\t' || (c >= ' ' && c != 0x7f);
@@ -112,6 +114,47 @@
 	return true;
 }
 
+static bool end_size(struct reply_syntax *syntax)
+{
+	if (syntax->size)
+		enter(syntax, SYNTAX_DATA);
+	else
+		begin_lines(syntax);
+	return true;
+}
+
+static bool take_extension(struct reply_syntax *syntax, unsigned char c)
+{
+	return c == '\n' ? end_size(syntax) : is_text_char(c);
+}
+
+static unsigned int hex_value(unsigned char c)
+{
+	unsigned int digit = c;
+
+	return apr_isdigit(digit) ? digit - '0' : (digit | 0x20) - 'a' + 10;
+}
+
+static bool take_size(struct reply_syntax *syntax, unsigned char c)
+{
+	if (apr_isxdigit(c)) {
+		syntax->size = syntax->size << 4 | hex_value(c);
+		return ++syntax->index <= SIZE_DIGITS_MAX;
+	}
+	if (!syntax->index)
+		return false;
+	if (c == '\n')
+		return end_size(syntax);
+	enter(syntax, SYNTAX_EXTENSION);
+	return c == ';' || c == ' ' || c == '\t';
+}
+
+static bool take_data_end(struct reply_syntax *syntax, unsigned char c)
+{
+	reply_syntax_chunks(syntax);
+	return c == '\n';
+}
+
 static bool (*const steps[SYNTAX_STATES])(struct reply_syntax *syntax,
 					  unsigned char c) = {
 	[SYNTAX_EMPTY_LINES] = take_empty_lines,
@@ -122,6 +165,9 @@
 	[SYNTAX_LINE] = take_line,
 	[SYNTAX_NAME] = take_name,
 	[SYNTAX_VALUE] = take_value,
+	[SYNTAX_SIZE] = take_size,
+	[SYNTAX_EXTENSION] = take_extension,
+	[SYNTAX_DATA_END] = take_data_end,
 };
 
 /* A CR is a part of a line end, or none of a reply. */
@@ -137,18 +183,36 @@
 	return steps[syntax->state](syntax, c);
 }
 
+static size_t skip_data(struct reply_syntax *syntax, size_t len)
+{
+	if (len > syntax->size)
+		len = (size_t)syntax->size;
+	syntax->size -= len;
+	if (!syntax->size)
+		enter(syntax, SYNTAX_DATA_END);
+	return len;
+}
+
 void reply_syntax_head(struct reply_syntax *syntax)
 {
 	*syntax = (struct reply_syntax){ .state = SYNTAX_EMPTY_LINES };
 }
 
+void reply_syntax_chunks(struct reply_syntax *syntax)
+{
+	enter(syntax, SYNTAX_SIZE);
+	syntax->size = 0;
+}
+
 ssize_t reply_syntax_check(struct reply_syntax *syntax, const char *bytes,
 			   size_t len)
 {
 	size_t used = 0;
 
 	while (used < len && !reply_syntax_complete(syntax)) {
-		if (!take(syntax, (unsigned char)bytes[used++]))
+		if (syntax->state == SYNTAX_DATA)
+			used += skip_data(syntax, len - used);
+		else if (!take(syntax, (unsigned char)bytes[used++]))
 			return -1;
 	}
 	return (ssize_t)used;
--- a/reply_syntax.h
+++ b/reply_syntax.h
@@ -1,16 +1,17 @@
 #pragma once
 
 #include <stdbool.h>
+#include <stdint.h>
 #include <sys/types.h>
 
 /**
  * DOC: grammar of an HTTP/1.1 reply
  *
- * Checks each byte of a reply's head against the grammar of RFC 9112. The
- * parsers behind it are lenient: they read the digits of any status, and take
- * blanks and stray line ends for parts of names, so that callers got a status
- * 0, or a body that was not the target's. What does not match the grammar is no
- * reply, whatever a parser makes of it.
+ * Checks each byte of a reply's head, and of its framing by chunks, against the
+ * grammar of RFC 9112. The parsers behind it are lenient: they read the digits
+ * of any status, and take blanks and stray line ends for parts of names, so
+ * that callers got a status 0, or a body that was not the target's. What does
+ * not match the grammar is no reply, whatever a parser makes of it.
  *
  * Of what the grammar leaves to the recipient, line ends without CR, empty
  * lines before a head, status lines without a reason phrase and folded lines
@@ -27,6 +28,10 @@
 	SYNTAX_LINE, /* first byte of a field line, or the empty line */
 	SYNTAX_NAME,
 	SYNTAX_VALUE,
+	SYNTAX_SIZE,
+	SYNTAX_EXTENSION,
+	SYNTAX_DATA,
+	SYNTAX_DATA_END,
 	SYNTAX_COMPLETE,
 	SYNTAX_STATES,
 };
@@ -34,9 +39,10 @@
 /**
  * struct reply_syntax - position in a reply
  * @after_cr: the next byte has to end the line
- * @index: bytes of the version or status so far
+ * @index: bytes of the version, status or size so far
  * @status: status of the head, as far as read
  * @folds: the next line may continue the last one
+ * @size: bytes of the chunk that are to come
  */
 struct reply_syntax {
 	enum syntax_state state;
@@ -44,10 +50,13 @@
 	unsigned int index;
 	int status;
 	bool folds;
+	uint64_t size;
 };
 
 /** reply_syntax_head() - expect a status line and fields. */
 void reply_syntax_head(struct reply_syntax *syntax);
+/** reply_syntax_chunks() - expect chunks and trailer fields. */
+void reply_syntax_chunks(struct reply_syntax *syntax);
 /**
  * reply_syntax_check() - check bytes, up to the end of what is expected.
  *
--- a/tests/check_broken.c
+++ b/tests/check_broken.c
@@ -125,6 +125,41 @@
 			"Content-Length: 0\r\n\r\n" HEAD LENGTH "\r\none") },
 };
 
+static const struct broken broken_framing[] = {
+	{ "two lengths", BYTES(HEAD LENGTH "Content-Length: 4\r\n\r\none") },
+	{ "a list of lengths", BYTES(HEAD "Content-Length: 3, 3\r\n\r\none") },
+	{ "no number", BYTES(HEAD "Content-Length: abc\r\n\r\none") },
+	{ "an empty length", BYTES(HEAD "Content-Length: \r\n\r\none") },
+	{ "+3", BYTES(HEAD "Content-Length: +3\r\n\r\none") },
+	{ "-1", BYTES(HEAD "Content-Length: -1\r\n\r\none") },
+	{ "0x3", BYTES(HEAD "Content-Length: 0x3\r\n\r\none") },
+	{ "3 0", BYTES(HEAD "Content-Length: 3 0\r\n\r\none") },
+	{ "a length over 64 bits",
+	  BYTES(HEAD "Content-Length: 18446744073709551619\r\n\r\none") },
+	{ "a length and chunks",
+	  BYTES(HEAD LENGTH CHUNKED "\r\n3\r\none\r\n0\r\n\r\n") },
+	{ "no size", BYTES(HEAD CHUNKED "\r\n\r\none\r\n0\r\n\r\n") },
+	{ "a size that is no number",
+	  BYTES(HEAD CHUNKED "\r\nx\r\none\r\n0\r\n\r\n") },
+	{ "a negative size", BYTES(HEAD CHUNKED "\r\n-3\r\none\r\n0\r\n\r\n") },
+	{ "0x3 as a size", BYTES(HEAD CHUNKED "\r\n0x3\r\none\r\n0\r\n\r\n") },
+	{ "a size over 64 bits",
+	  BYTES(HEAD CHUNKED "\r\n10000000000000003\r\none\r\n0\r\n\r\n") },
+	{ "a chunk longer than its size",
+	  BYTES(HEAD CHUNKED "\r\n3\r\nonexx0\r\n\r\n") },
+	{ "a chunk without an end", BYTES(HEAD CHUNKED "\r\n3\r\none\r\r0") },
+	{ "0x01 in a chunk's extension",
+	  BYTES(HEAD CHUNKED "\r\n3;a\001b\r\none\r\n0\r\n\r\n") },
+	{ "CR in a chunk's extension",
+	  BYTES(HEAD CHUNKED "\r\n3;a\rb\r\none\r\n0\r\n\r\n") },
+	{ "blank in a trailer's name",
+	  BYTES(HEAD CHUNKED "\r\n3\r\none\r\n0\r\nX Foo: 1\r\n\r\n") },
+	{ "0x01 in a trailer's name",
+	  BYTES(HEAD CHUNKED "\r\n3\r\none\r\n0\r\nX\001: 1\r\n\r\n") },
+	{ "CR in place of the last line",
+	  BYTES(HEAD CHUNKED "\r\n3\r\none\r\n0\r\n\rx") },
+};
+
 /** struct sound - a reply that must be served; @eof: it ends with its
  * connection */
 struct sound {
@@ -287,6 +322,13 @@
 }
 END_TEST
 
+/* A body that was not the target's whole body was passed on. */
+START_TEST(test_broken_framing)
+{
+	check_broken_in_pieces(&broken_framing[_i]);
+}
+END_TEST
+
 /* A sound reply that is refused is run again elsewhere, or lost. */
 START_TEST(test_sound)
 {
@@ -460,6 +502,8 @@
 	tcase_add_loop_test(tcase, test_broken_status_line, 0,
 			    COUNT(broken_status_lines));
 	tcase_add_loop_test(tcase, test_broken_field, 0, COUNT(broken_fields));
+	tcase_add_loop_test(tcase, test_broken_framing, 0,
+			    COUNT(broken_framing));
 	tcase_add_loop_test(tcase, test_sound, 0, COUNT(sound));
 	tcase_add_test(tcase, test_random_heads);
 }
