A coding or a protocol that nobody asked for ends the try at once

What callers saw: "Transfer-Encoding: gzip, chunked" was a success with a body that was still encoded. "xchunked", and 101 without a question for it, were held until the deadline and then answered 504.

The parser library knows "chunked" as the last coding; the others were ignored, and without it a body lasts until the connection ends. 101 was skipped like an interim reply, and no reply comes behind it.

At the end of a head, the codings are none, or "chunked" alone: a request has no TE field, so that RFC 9112 allows no other. 101 fails, as a request has no Upgrade field (it is not forwarded).

--- a/reply.c
+++ b/reply.c
@@ -9,8 +9,9 @@
 	 */
 	FRAMING_MAX_BYTES = 1024 * 1024,
 	FRAMING_PER_BYTE_MAX = 16,
-	/* Result of a callback: there is no body behind the headers. */
+	/* Results of the callback at the end of the headers. */
 	SKIP_BODY = 1,
+	BAD_HEAD = -1,
 };
 
 /* Trailer fields behind a body in chunks are neither headers nor body. */
@@ -51,10 +52,34 @@
 	return !value.ptr || !str_eq(value, echo);
 }
 
+/*
+ * A target may use no other coding unasked. The body would be passed on
+ * encoded, or, without chunks, be awaited until the connection ends.
+ */
+static bool has_known_coding(const struct headers *headers)
+{
+	bool found = false;
+
+	for (size_t i = 0; i < headers->count; i++) {
+		struct header header = headers_at(headers, i);
+
+		if (!header_name_eq(header.name, STR("Transfer-Encoding")))
+			continue;
+		if (found || !header_name_eq(header.value, STR("chunked")))
+			return false;
+		found = true;
+	}
+	return true;
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	struct reply *reply = parser->data;
 
+	/* No request asks for another protocol. */
+	if (parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS ||
+	    !has_known_coding(&reply->headers))
+		return BAD_HEAD;
 	reply->in_body = true;
 	reply->chunked = !reply->no_body && parser->flags & F_CHUNKED;
 	reply->skip = reply->parser.status_code / 100 != 1 && is_foreign(reply);
--- a/tests/check_broken.c
+++ b/tests/check_broken.c
@@ -76,6 +76,9 @@
 	{ "CR in the reason", BYTES("HTTP/1.1 200 O\rK\r\n" REST) },
 	{ "a field behind a CR", BYTES("HTTP/1.1 200 O\rK" REST) },
 	{ "CR alone behind it", BYTES("HTTP/1.1 200 OK\r" REST) },
+	{ "101 that nobody asked for",
+	  BYTES("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+		"Connection: Upgrade\r\n\r\n") },
 	{ "000 before a reply",
 	  BYTES("HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n" HEAD LENGTH
 		"\r\none") },
@@ -138,6 +141,19 @@
 	  BYTES(HEAD "Content-Length: 18446744073709551619\r\n\r\none") },
 	{ "a length and chunks",
 	  BYTES(HEAD LENGTH CHUNKED "\r\n3\r\none\r\n0\r\n\r\n") },
+	{ "another coding before chunks",
+	  BYTES(HEAD "Transfer-Encoding: gzip, chunked\r\n\r\n"
+		     "3\r\none\r\n0\r\n\r\n") },
+	{ "an unknown coding", BYTES(HEAD "Transfer-Encoding: xchunked\r\n\r\n"
+					  "3\r\none\r\n0\r\n\r\n") },
+	{ "two codings", BYTES(HEAD "Transfer-Encoding: identity\r\n" CHUNKED
+				    "\r\n3\r\none\r\n0\r\n\r\n") },
+	{ "chunks twice",
+	  BYTES(HEAD CHUNKED CHUNKED "\r\n3\r\none\r\n0\r\n\r\n") },
+	{ "an empty coding",
+	  BYTES(HEAD "Transfer-Encoding: \r\n\r\n3\r\none\r\n0\r\n\r\n") },
+	{ "identity",
+	  BYTES(HEAD LENGTH "Transfer-Encoding: identity\r\n\r\none") },
 	{ "no size", BYTES(HEAD CHUNKED "\r\n\r\none\r\n0\r\n\r\n") },
 	{ "a size that is no number",
 	  BYTES(HEAD CHUNKED "\r\nx\r\none\r\n0\r\n\r\n") },
