A reply without a body ends with its head

What callers saw: a target's 304 with the length of what was not modified, or a 204 with a length, was held until the deadline and answered 504, unless bytes of that length came. The reply was sound (304), or ends with its head whatever it states (204, RFC 9112).

The parser library waits for the stated body; its callback can tell it that there is none, which was done for HEAD alone.

Change. 1xx, 204 and 304 have no body; http.c, which writes them, shares the rule. After a 204 that states a body the connection is closed, as the bytes that may follow could pass for the next reply.

--- a/headers.c
+++ b/headers.c
@@ -115,6 +115,11 @@
 	return isalnum((unsigned char)c) || (c && strchr("!#$%&'*+-.^_`|~", c));
 }
 
+bool status_has_body(int status)
+{
+	return status / 100 != 1 && status != 204 && status != 304;
+}
+
 bool header_name_eq(struct str a, struct str b)
 {
 	return a.len == b.len && !strncasecmp(a.ptr, b.ptr, a.len);
--- a/headers.h
+++ b/headers.h
@@ -55,6 +55,8 @@
 void headers_free(struct headers *headers);
 /** header_is_token_char() - whether a name may contain @c. */
 bool header_is_token_char(char c);
+/** status_has_body() - whether a reply with this status may have a body. */
+bool status_has_body(int status);
 /** header_name_eq() - compare names, without regard to case. */
 bool header_name_eq(struct str a, struct str b);
 /** header_add_line() - append "Name: value\r\n". */
--- a/http.c
+++ b/http.c
@@ -247,11 +247,6 @@
 	return str_of(server->date);
 }
 
-static bool has_no_body(int status)
-{
-	return status / 100 == 1 || status == 204 || status == 304;
-}
-
 static void write_head(struct http_conn *conn, int status, struct str headers,
 		       size_t body_len)
 {
@@ -261,7 +256,7 @@
 		   http_status_str((enum http_status)status));
 	header_add_line(out, STR("Date"), date_now(conn->server));
 	buf_str_add(out, headers);
-	if (!has_no_body(status))
+	if (status_has_body(status))
 		buf_printf(out, "Content-Length: %zu\r\n", body_len);
 	if (conn->closing)
 		header_add_line(out, STR("Connection"), STR("close"));
@@ -278,7 +273,7 @@
 	conn->closing = conn->refused || conn->server->closing ||
 			!conn->parse.keep_alive;
 	write_head(conn, status, headers, body.len);
-	if (!head_only && !has_no_body(status))
+	if (!head_only && status_has_body(status))
 		buf_str_add(&conn->out, body);
 	set_phase(conn, CONN_ANSWERING);
 	conn_write(conn);
--- a/reply.c
+++ b/reply.c
@@ -75,16 +75,18 @@
 static int on_headers_complete(http_parser *parser)
 {
 	struct reply *reply = parser->data;
+	bool has_body =
+		!reply->no_body && status_has_body((int)parser->status_code);
 
 	/* No request asks for another protocol. */
 	if (parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS ||
 	    !has_known_coding(&reply->headers))
 		return BAD_HEAD;
 	reply->in_body = true;
-	reply->chunked = !reply->no_body && parser->flags & F_CHUNKED;
+	reply->chunked = has_body && parser->flags & F_CHUNKED;
 	reply->skip = reply->parser.status_code / 100 != 1 && is_foreign(reply);
 	reply->skipped += reply->skip;
-	return reply->no_body ? SKIP_BODY : 0;
+	return has_body ? 0 : SKIP_BODY;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t len)
@@ -97,12 +99,21 @@
 	return 0;
 }
 
+/* Bytes behind a 204 that states a body could pass for the next reply. */
+static bool is_followed_by_body(const http_parser *parser)
+{
+	return parser->status_code == HTTP_STATUS_NO_CONTENT &&
+	       (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) &&
+	       parser->content_length;
+}
+
 /* Pauses, so that the caller of the parser learns where the reply ends. */
 static int on_message_complete(http_parser *parser)
 {
 	struct reply *reply = parser->data;
 
-	reply->closes_after = !http_should_keep_alive(parser);
+	reply->closes_after =
+		!http_should_keep_alive(parser) || is_followed_by_body(parser);
 	reply->in_body = false;
 	http_parser_pause(parser, 1);
 	if (parser->status_code / 100 == 1 || reply->skip) {
--- a/tests/check_upstream.c
+++ b/tests/check_upstream.c
@@ -116,6 +116,27 @@
 	  false, FETCH_OK, 200, "one", true, "two", false, 3 },
 	{ "longer than the limit", REPLY("r1", "one"), REPLY("r2", "two"),
 	  false, false, FETCH_MALFORMED, 0, "", false, "two", false, 2 },
+	{ "no body, but a length of one",
+	  "HTTP/1.1 204 No Content\r\nRequest-Id: r1\r\n"
+	  "Content-Length: 3\r\n\r\n",
+	  REPLY("r2", "two"), false, false, FETCH_OK, 204, "", false, "two",
+	  false, 0 },
+	{ "no body",
+	  "HTTP/1.1 204 No Content\r\nRequest-Id: r1\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  REPLY("r2", "two"), false, false, FETCH_OK, 204, "", true, "two",
+	  false, 0 },
+	{ "not modified",
+	  "HTTP/1.1 304 Not Modified\r\nRequest-Id: r1\r\n"
+	  "Content-Length: 3\r\n\r\n",
+	  REPLY("r2", "two"), false, false, FETCH_OK, 304, "", true, "two",
+	  false, 0 },
+	{ "status 000", "HTTP/1.1 000 OK\r\nRequest-Id: r1\r\n\r\n",
+	  REPLY("r2", "two"), false, false, FETCH_MALFORMED, 0, "", false,
+	  "two", false, 0 },
+	{ "a blank in a field's name",
+	  OK_R1 "X Foo: 1\r\nContent-Length: 3\r\n\r\none", REPLY("r2", "two"),
+	  false, false, FETCH_MALFORMED, 0, "", false, "two", false, 0 },
 	{ "the same request again", REPLY("r1", "one"), REPLY("r1", "two"),
 	  false, false, FETCH_OK, 200, "one", false, "two", true, 0 },
 };
