A reply with two ids or two signatures belongs to no request

What callers saw: a success with two Response-Stamp lines that differ, in a merged answer a part under a signature that no target sent. With the other request's id first, the caller was held until the deadline.

The first line of a name was taken for the only one (headers_find), and both were passed on.

Where the id or the signature stands twice with different values, the reply fails as one with a broken head: which is the target's cannot be told. Twice the same is served, as before. Other fields may repeat.

--- a/edge.c
+++ b/edge.c
@@ -173,6 +173,7 @@
 		.body = fx->request->body,
 		.echo_name = edge->dialect->names.request_id,
 		.echo = fx->request->request_id,
+		.signature_name = edge->dialect->names.signature,
 		.no_body = str_eq(fx->request->method, STR("HEAD")),
 		.connect_timeout_us = CONNECT_TIMEOUT_US,
 		.timeout_us = fx->timeout_us,
--- a/reply.c
+++ b/reply.c
@@ -52,6 +52,27 @@
 	return !value.ptr || !str_eq(value, echo);
 }
 
+/* Of two ids or signatures, it cannot be told which is the reply's. */
+static bool has_two_values(const struct headers *headers, struct str name)
+{
+	struct str first = headers_find(headers, name);
+
+	for (size_t i = 0; i < headers->count; i++) {
+		struct header header = headers_at(headers, i);
+
+		if (header_name_eq(header.name, name) &&
+		    !str_eq(header.value, first))
+			return true;
+	}
+	return false;
+}
+
+static bool is_ambiguous(const struct reply *reply)
+{
+	return has_two_values(&reply->headers, buf_str(&reply->echo_name)) ||
+	       has_two_values(&reply->headers, buf_str(&reply->signature_name));
+}
+
 /*
  * A target may use no other coding unasked. The body would be passed on
  * encoded, or, without chunks, be awaited until the connection ends.
@@ -80,7 +101,7 @@
 
 	/* No request asks for another protocol. */
 	if (parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS ||
-	    !has_known_coding(&reply->headers))
+	    !has_known_coding(&reply->headers) || is_ambiguous(reply))
 		return BAD_HEAD;
 	reply->in_body = true;
 	reply->chunked = has_body && parser->flags & F_CHUNKED;
@@ -167,6 +188,7 @@
 {
 	buf_free(&reply->echo_name);
 	buf_free(&reply->echo);
+	buf_free(&reply->signature_name);
 	headers_free(&reply->headers);
 	buf_free(&reply->body);
 }
--- a/reply.h
+++ b/reply.h
@@ -22,6 +22,7 @@
  *                    empty, the reply has no such header
  * @syntax: position in the head, or in the chunks of the body
  * @chunked: the body comes in chunks
+ * @signature_name: name of a header that signs the reply; may be empty
  * @in_body: the headers are complete, but not the reply
  * @skip: this reply does not name the request
  * @skipped: number of such replies since the caller last cleared it
@@ -38,6 +39,7 @@
 	bool no_body;
 	struct buf echo_name;
 	struct buf echo;
+	struct buf signature_name;
 	struct reply_syntax syntax;
 	bool chunked;
 	bool in_body;
--- a/tests/check_broken.c
+++ b/tests/check_broken.c
@@ -128,6 +128,17 @@
 			"Content-Length: 0\r\n\r\n" HEAD LENGTH "\r\none") },
 };
 
+static const struct broken ambiguous[] = {
+	{ "two ids", BYTES(OK_LINE "Request-Id: r2\r\n" REST) },
+	{ "two ids, the other one last",
+	  BYTES(OK_LINE ID "request-id: r2\r\n" LENGTH "\r\none") },
+	{ "an id and an empty one", BYTES(OK_LINE "Request-Id:\r\n" REST) },
+	{ "two signatures", BYTES(OK_LINE "Response-Stamp: s2\r\n" REST) },
+	{ "two signatures, with a field between",
+	  BYTES(OK_LINE STAMP "X: 1\r\nresponse-stamp: s2\r\n" ID LENGTH
+			      "\r\none") },
+};
+
 static const struct broken broken_framing[] = {
 	{ "two lengths", BYTES(HEAD LENGTH "Content-Length: 4\r\n\r\none") },
 	{ "a list of lengths", BYTES(HEAD "Content-Length: 3, 3\r\n\r\none") },
@@ -226,6 +237,8 @@
 	  false },
 	{ "may: the id twice, the same", BYTES(OK_LINE ID REST), 200, "one",
 	  false },
+	{ "may: the signature twice, the same", BYTES(OK_LINE STAMP REST), 200,
+	  "one", false },
 	{ "blanks about the length",
 	  BYTES(HEAD "Content-Length:   3  \r\n\r\none"), 200, "one", false },
 	{ "a length with zeros", BYTES(HEAD "Content-Length: 0003\r\n\r\none"),
@@ -271,6 +284,7 @@
 	*reply = (struct reply){ .body_max = BODY_MAX };
 	buf_str_add(&reply->echo_name, STR("Request-Id"));
 	buf_str_add(&reply->echo, STR("r1"));
+	buf_str_add(&reply->signature_name, STR("Response-Stamp"));
 	reply_reset(reply);
 }
 
@@ -346,6 +360,13 @@
 }
 END_TEST
 
+/* A reply with two ids or signatures was taken for what the first said. */
+START_TEST(test_ambiguous)
+{
+	check_broken_in_pieces(&ambiguous[_i]);
+}
+END_TEST
+
 /* A body that was not the target's whole body was passed on. */
 START_TEST(test_broken_framing)
 {
@@ -528,6 +549,7 @@
 	tcase_add_loop_test(tcase, test_broken_field, 0, COUNT(broken_fields));
 	tcase_add_loop_test(tcase, test_broken_framing, 0,
 			    COUNT(broken_framing));
+	tcase_add_loop_test(tcase, test_ambiguous, 0, COUNT(ambiguous));
 	tcase_add_loop_test(tcase, test_sound, 0, COUNT(sound));
 	tcase_add_test(tcase, test_random_heads);
 }
--- a/tests/tier_answers.py
+++ b/tests/tier_answers.py
@@ -24,14 +24,16 @@
     status_line: bytes = b"HTTP/1.1 200 OK\r\n"
     fields: bytes = b""
     chunked: bool = False
+    chunk: bytes = b""  # in place of the only one
 
     def bytes(self, headers, body):
         lines = [self.status_line, self.fields]
         lines += [f"{k}: {v}\r\n".encode() for k, v in headers.items()]
         if self.chunked:
+            chunk = self.chunk or b"%x\r\n%%s" % len(body)
             return b"".join(lines) + (
-                b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n"
-                % (len(body), body))
+                b"Transfer-Encoding: chunked\r\n\r\n" + chunk % body
+                + b"\r\n0\r\n\r\n")
         return b"".join(lines) + (
             b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
 
@@ -47,6 +49,16 @@
     "X\0Foo: 1\r\n", "X\rFoo: 1\r\n", "X\x7fFoo: 1\r\n", "X\xe4: 1\r\n",
     "X/Foo: 1\r\n", ": 1\r\n", "X-Foo\r\n", "X-Foo: a\x01b\r\n",
     "X-Foo: a\0b\r\n", "X-Foo: a\r\n b\x01\r\n")}
+AMBIGUOUS = {line: Form(fields=line.encode()) for line in (
+    "Request-Id: other\r\n", "Response-Stamp: other\r\n")}
+FRAMING = {
+    "a chunk longer than its size": Form(chunked=True, chunk=b"3\r\n%s"),
+    "another coding": Form(
+        fields=b"Transfer-Encoding: gzip\r\n", chunked=True),
+    "an unknown coding": Form(fields=b"Transfer-Encoding: xchunked\r\n"),
+    "another protocol": Form(b"HTTP/1.1 101 Switching Protocols\r\n",
+                             b"Upgrade: x\r\nConnection: Upgrade\r\n"),
+}
 SOUND = {
     "plain": Form(),
     "chunked": Form(chunked=True),
@@ -166,6 +178,16 @@
     check_forms(port, BROKEN_FIELDS)
 
 
+def test_ambiguous_answer_is_none(port):
+    """An answer with two ids or signatures was passed on to the caller."""
+    check_forms(port, AMBIGUOUS)
+
+
+def test_broken_framing_is_no_answer(port):
+    """A body that is still encoded was passed on, or the caller was held."""
+    check_forms(port, FRAMING)
+
+
 def test_broken_answer_of_one_target(port):
     """One target that sends broken answers costs no read: they run again at
     another one, and nothing of the broken answer reaches the caller."""
@@ -198,5 +220,6 @@
 
 
 TESTS = [test_broken_status_is_no_answer, test_broken_field_is_no_answer,
+         test_ambiguous_answer_is_none, test_broken_framing_is_no_answer,
          test_broken_answer_of_one_target,
          test_sound_answers_served]
--- a/upstream.c
+++ b/upstream.c
@@ -114,7 +114,9 @@
 		req->reply_max ? req->reply_max : REPLY_BODY_MAX_BYTES;
 	reply->echo.len = 0;
 	reply->echo_name.len = 0;
+	reply->signature_name.len = 0;
 	buf_str_add(&reply->echo, req->echo);
+	buf_str_add(&reply->signature_name, req->signature_name);
 	buf_str_add(&reply->echo_name, req->echo_name);
 }
 
--- a/upstream.h
+++ b/upstream.h
@@ -22,6 +22,8 @@
  * @echo_name, @echo: name and expected value of a reply header that echoes the
  *                    request's id; a reply with another value, or without it,
  *                    is skipped. If @echo is empty, so is one with the header
+ * @signature_name: name of a reply header that signs it; may be empty. A reply
+ *                  with two different ones is none
  * @no_body: the reply has no body, whatever its headers state
  * @reply_max: largest reply body accepted, bytes; 0 for the default
  * @connect_timeout_us: timeout of the connection attempt
@@ -38,6 +40,7 @@
 	struct str body;
 	struct str echo_name;
 	struct str echo;
+	struct str signature_name;
 	bool no_body;
 	size_t reply_max;
 	int64_t connect_timeout_us;
