A status without a phrase of its own is written with an empty one

What callers saw: "HTTP/1.1 299 <unknown>", where a target had answered 299.

The parser library's text for a status that it does not know was written as a reason phrase.

Evidence. test_status_line: 299 and 599 failed before.

The phrase is empty there, and the blank before it stays, as the grammar asks for it. Statuses are 100 to 599 since replies are read by the grammar.

--- a/http.c
+++ b/http.c
@@ -247,13 +247,25 @@
 	return str_of(server->date);
 }
 
+static const char *reason_phrase(int status)
+{
+	switch (status) {
+#define REASON_PHRASE(number, name, phrase) \
+	case number: \
+		return #phrase;
+		HTTP_STATUS_MAP(REASON_PHRASE)
+#undef REASON_PHRASE
+	default:
+		return "";
+	}
+}
+
 static void write_head(struct http_conn *conn, int status, struct str headers,
 		       size_t body_len)
 {
 	struct buf *out = &conn->out;
 
-	buf_printf(out, "HTTP/1.1 %d %s\r\n", status,
-		   http_status_str((enum http_status)status));
+	buf_printf(out, "HTTP/1.1 %d %s\r\n", status, reason_phrase(status));
 	header_add_line(out, STR("Date"), date_now(conn->server));
 	buf_str_add(out, headers);
 	if (status_has_body(status))
--- a/tests/check_http.c
+++ b/tests/check_http.c
@@ -313,6 +313,37 @@
 }
 END_TEST
 
+/** struct status_line - what a caller gets for a status */
+struct status_line {
+	int status;
+	const char *line;
+};
+
+static const struct status_line status_lines[] = {
+	{ 200, "HTTP/1.1 200 OK\r\n" },
+	{ 503, "HTTP/1.1 503 Service Unavailable\r\n" },
+	{ 299, "HTTP/1.1 299 \r\n" },
+	{ 599, "HTTP/1.1 599 \r\n" },
+};
+
+/* Statuses that have no phrase of their own came with "<unknown>". */
+START_TEST(test_status_line)
+{
+	const struct status_line *c = &status_lines[_i];
+	size_t len = strlen(c->line);
+	struct fixture f = { .holds = true };
+
+	set_up(&f, &small_limits);
+	send_text(&f, "GET / HTTP/1.1\r\n\r\n");
+	run(&f, QUIET_US);
+	http_respond(f.held, c->status, STR(""), STR(""));
+	run(&f, QUIET_US);
+	ck_assert(f.received.len > len);
+	ck_assert(!memcmp(f.received.ptr, c->line, len));
+	tear_down(&f);
+}
+END_TEST
+
 /* Headers that take too long are answered as not run, not dropped. */
 START_TEST(test_slow_headers)
 {
@@ -496,6 +527,9 @@
 	tcase_add_loop_test(tcase, test_exchange_byte_by_byte, 0, count);
 	tcase_add_loop_test(tcase, test_head_limit, 0,
 			    sizeof(limit_cases) / sizeof(*limit_cases));
+	tcase_add_loop_test(
+		tcase, test_status_line, 0,
+		(int)(sizeof(status_lines) / sizeof(*status_lines)));
 	tcase_add_test(tcase, test_slow_headers);
 	tcase_add_test(tcase, test_refused_while_sending);
 	tcase_add_test(tcase, test_idle_connection);
