Test: a reply without end ends early in serve, whatever it repeats

In the tier this is held off by the limits that check-reply (test_endless) and check-upstream (test_memory_of_all_replies) test; the reader of serve had no such test.

Other nodes of that machine, and all requests of this one, end with it.

Cause. libcurl limits a line and the size of a head, but not the trailer fields.

--- a/tests/check_fetch.c
+++ b/tests/check_fetch.c
@@ -17,6 +17,11 @@
 enum {
 	LOOP_STEPS_MAX = 2000,
 	TIMEOUT_US = 500000,
+	ENDLESS_TIMEOUT_US = 5000000,
+	STREAM_PART_BYTES = 16 * 1024,
+	STREAM_ROUND_BYTES = 256 * 1024,
+	/* The largest head, and what the sockets of both sides hold. */
+	ENDLESS_MAX_BYTES = 16 * 1024 * 1024,
 };
 
 /**
@@ -24,6 +29,7 @@
  * @form: what it sends for each request, in place of that; may be empty
  * @byte_by_byte: @form is sent in that way
  * @open: connections
+ * @fd: the last connection
  * @requests_read: requests that it has read
  *
  * It reads every later request and closes the connection without a reply.
@@ -35,6 +41,7 @@
 	int listener;
 	struct watch *watch;
 	int open;
+	int fd;
 	int requests_read;
 	int replies_sent;
 };
@@ -100,6 +107,7 @@
 	server->open++;
 	conn->server = server;
 	conn->fd = accept(server->listener, NULL, NULL);
+	server->fd = conn->fd;
 	conn->watch =
 		loop_add(server->loop, conn->fd, APR_POLLIN, on_conn, conn);
 }
@@ -227,32 +235,44 @@
 	snprintf(out->body, sizeof(out->body), "%.*s", STR_ARG(reply->body));
 }
 
-static struct outcome fetch_form(struct str form, bool byte_by_byte)
+static void start_fetch(struct server *server, struct fetcher *fetcher,
+			int64_t timeout_us, struct outcome *out)
 {
-	struct server server = { .form = form, .byte_by_byte = byte_by_byte };
-	struct outcome out = { 0 };
 	struct buf url = { 0 };
-	struct fetcher *fetcher;
 
-	server.loop = loop_create(NULL);
-	fetcher = fetcher_create(server.loop, 4096);
-	buf_printf(&url, "http://127.0.0.1:%u/leaf", server_listen(&server));
+	buf_printf(&url, "http://127.0.0.1:%u/leaf", server_listen(server));
 	fetch_start(fetcher, &(struct fetch_request){
 				     .url = buf_str(&url),
 				     .remaining_us = -1,
-				     .timeout_us = TIMEOUT_US,
+				     .timeout_us = timeout_us,
 				     .done = on_outcome,
-				     .ctx = &out,
+				     .ctx = out,
 			     });
-	while (!out.done)
-		loop_step(server.loop);
 	buf_free(&url);
+}
+
+static void stop_fetch(struct server *server, struct fetcher *fetcher)
+{
 	fetcher_destroy(fetcher);
-	while (server.open)
+	while (server->open)
+		loop_step(server->loop);
+	loop_del(server->watch);
+	close(server->listener);
+	loop_destroy(server->loop);
+}
+
+static struct outcome fetch_form(struct str form, bool byte_by_byte)
+{
+	struct server server = { .form = form, .byte_by_byte = byte_by_byte };
+	struct outcome out = { 0 };
+	struct fetcher *fetcher;
+
+	server.loop = loop_create(NULL);
+	fetcher = fetcher_create(server.loop, 4096);
+	start_fetch(&server, fetcher, TIMEOUT_US, &out);
+	while (!out.done)
 		loop_step(server.loop);
-	loop_del(server.watch);
-	close(server.listener);
-	loop_destroy(server.loop);
+	stop_fetch(&server, fetcher);
 	return out;
 }
 
@@ -332,8 +352,78 @@
 }
 END_TEST
 
+/** struct endless - bytes of a target that never ends its reply */
+struct endless {
+	const char *name;
+	const char *first;
+	const char *repeated;
+};
+
+static const struct endless endless[] = {
+	{ "fields", OK_LINE, "A: b\r\n" },
+	{ "a name", OK_LINE, "A" },
+	{ "a value", OK_LINE "A: ", "b" },
+	{ "a reason phrase", "HTTP/1.1 200 ", "OK" },
+	{ "interim replies", "HTTP/1.1 100 Continue\r\n\r\n",
+	  "HTTP/1.1 100 Continue\r\n\r\n" },
+	{ "a body", HEAD "\r\n", "one" },
+	{ "chunks", HEAD CHUNKED "\r\n", "3\r\none\r\n" },
+	{ "trailer fields", HEAD CHUNKED "\r\n3\r\none\r\n0\r\n", "A: b\r\n" },
+};
+
+/* Sends what the connection takes. Return: bytes sent */
+static size_t stream(const struct server *server, struct str part)
+{
+	size_t total = 0;
+	ssize_t sent = 0;
+
+	while (server->open && sent >= 0 && total < STREAM_ROUND_BYTES) {
+		sent = send(server->fd, part.ptr, part.len,
+			    MSG_NOSIGNAL | MSG_DONTWAIT);
+		total += sent > 0 ? (size_t)sent : 0;
+	}
+	return total;
+}
+
+/* Trailer fields without end were taken until the timeout, in any number. */
+START_TEST(test_endless)
+{
+	const struct endless *c = &endless[_i];
+	struct server server = { 0 };
+	struct outcome out = { 0 };
+	struct buf part = { 0 };
+	size_t total = 0;
+	struct fetcher *fetcher;
+
+	/* An empty line may come before a head. */
+	buf_str_add(&part, str_of(c->first));
+	server.form = buf_str(&part);
+	server.loop = loop_create(NULL);
+	fetcher = fetcher_create(server.loop, 4096);
+	start_fetch(&server, fetcher, ENDLESS_TIMEOUT_US, &out);
+	while (!out.done && !server.requests_read)
+		loop_step(server.loop);
+	part.len = 0;
+	while (part.len < STREAM_PART_BYTES)
+		buf_str_add(&part, str_of(c->repeated));
+	while (!out.done) {
+		total += stream(&server, buf_str(&part));
+		loop_step(server.loop);
+	}
+	ck_assert_msg(out.result == FETCH_MALFORMED ||
+			      out.result == FETCH_BROKEN,
+		      "%s: result %d after %zu bytes", c->name, (int)out.result,
+		      total);
+	ck_assert_msg(total < ENDLESS_MAX_BYTES, "%s: %zu bytes", c->name,
+		      total);
+	buf_free(&part);
+	stop_fetch(&server, fetcher);
+}
+END_TEST
+
 static void add_tests(TCase *tcase)
 {
+	tcase_add_loop_test(tcase, test_endless, 0, COUNT(endless));
 	tcase_add_loop_test(tcase, test_broken_status_line, 0,
 			    COUNT(broken_status_lines));
 	tcase_add_loop_test(tcase, test_broken_field, 0, COUNT(broken_fields));
