--- a/tests/tier_answers.py
+++ b/tests/tier_answers.py
@@ -3,7 +3,10 @@
 import argparse
 import asyncio
 import os
+import socket
+import subprocess
 import sys
+import threading
 import time
 from typing import NamedTuple
 
@@ -219,7 +222,40 @@
     run_scenario(port, scenario)
 
 
-TESTS = [test_broken_status_is_no_answer, test_broken_field_is_no_answer,
+def status_from(port, reply):
+    """The command that shows a node's state, and a node that answers so."""
+    listener = socket.create_server(("127.0.0.1", port))
+
+    def serve():
+        conn = listener.accept()[0]
+        with conn:
+            conn.recv(4096)
+            conn.sendall(reply)
+    thread = threading.Thread(target=serve)
+    thread.start()
+    done = subprocess.run(
+        [os.environ["BUILD"] + "/wasabimoor", "status", "--address",
+         f"127.0.0.1:{port}"], capture_output=True, text=True, check=False)
+    thread.join()
+    listener.close()
+    return done
+
+
+def test_command_shows_no_broken_answer(port):
+    """The command line showed what a faulty node sent as its state."""
+    failed = []
+    forms = {**BROKEN_STATUS_LINES, **BROKEN_FIELDS}
+    for name, form in forms.items():
+        done = status_from(port, form.bytes({}, b'{"state":"wrong"}'))
+        if done.returncode != 1 or "wrong" in done.stdout:
+            failed.append(f"{name!r}: {done}")
+    assert not failed, "\n".join(failed)
+    done = status_from(port, Form().bytes({}, b'{"state":"right"}'))
+    assert done.returncode == 0 and "right" in done.stdout, done
+
+
+TESTS = [test_command_shows_no_broken_answer,
+         test_broken_status_is_no_answer, test_broken_field_is_no_answer,
          test_ambiguous_answer_is_none, test_broken_framing_is_no_answer,
          test_broken_answer_of_one_target,
          test_sound_answers_served]
