A key with a NUL does not stop the reading of all others

Report of other operators: another writer left one odd entry, and the machines that read the list ended, or stopped following it.

What was seen. One key did it: with a NUL in it, no further change was taken, by a watch or by a scan; a configuration that came later was never in force, with "its reply cannot be read" in the log at each try.

The JSON library refuses a NUL in a string unless told otherwise, and the refusal is for the whole page.

Ruled out: depth (the library has a limit of its own), sizes, numbers out of range (per entry, as before).

Pages of the store may have it, and keys are taken with their length, so that "servers/i" and "servers/i\0x" stay two keys. The values of entries are read as before: there a NUL spoils that entry alone.

--- a/json.c
+++ b/json.c
@@ -24,9 +24,14 @@
 
 json_t *json_parse(struct json_input *in, struct str text)
 {
+	size_t flags = JSON_REJECT_DUPLICATES;
 	json_error_t parse_error;
-	json_t *doc = json_loadb(text.ptr ? text.ptr : "", text.len,
-				 JSON_REJECT_DUPLICATES, &parse_error);
+	json_t *doc;
+
+	if (in->allows_nul)
+		flags |= JSON_ALLOW_NUL;
+	doc = json_loadb(text.ptr ? text.ptr : "", text.len, flags,
+			 &parse_error);
 
 	if (doc)
 		return doc;
--- a/json.h
+++ b/json.h
@@ -11,11 +11,13 @@
  * struct json_input - a document being validated
  * @file: name of the document in error messages
  * @code: ERR_SETTINGS, ERR_LIST or ERR_BAD_REQUEST, used for every error
+ * @allows_nul: strings may contain NUL; they are read with their lengths
  * @err: first error; err.code is 0 if there is none
  */
 struct json_input {
 	const char *file;
 	int code;
+	bool allows_nul;
 	struct error err;
 };
 
--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -76,7 +76,9 @@
         value, revision = self.keys[key]
         if value is None:
             return {"key": key, "revision": revision, "tombstone": True}
-        text = base64.b64encode(json.dumps(value).encode()).decode()
+        raw = (value if isinstance(value, bytes)
+               else json.dumps(value).encode())
+        text = base64.b64encode(raw).decode()
         return {"key": key, "value": text, "revision": revision,
                 "created": revision, "lease": 0}
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -79,7 +79,7 @@
         self.targets, self.proxies, self.procs = [], {}, {}
         self.answers, self.violations, self.not_run_ids = [], [], []
         self.version, self.shard_prefix = 1, "s"
-        self.stopping = False
+        self.stopping, self.timeout_ms = False, TIMEOUT_MS
         self.timed_out, self.requests, self.stdout = 0, {}, None
         self.limits = {"max_header_bytes": 16384, "max_body_bytes": 262144,
                        "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
@@ -117,7 +117,7 @@
                      for i in range(self.shape.shards))
 
     def configure(self):
-        common = {"host": "h.example", "timeout_ms": TIMEOUT_MS,
+        common = {"host": "h.example", "timeout_ms": self.timeout_ms,
                   "goal_ms": GOAL_MS, "priority": 1, "max_attempts": MAX_ATTEMPTS}
         shards = list(self.shard_services())
         routes = [
@@ -210,7 +210,7 @@
         method = "POST" if kind == "once" else "GET"
         head = (f"{method} {ROUTES[kind]}{path or request_id} HTTP/1.1\r\n"
                 f"Host: h.example\r\nRequest-Id: {request_id}\r\n"
-                f"Request-Deadline: {TIMEOUT_MS}\r\n{headers}"
+                f"Request-Deadline: {self.timeout_ms}\r\n{headers}"
                 f"Content-Length: {len(body)}\r\n\r\n")
         try:
             writer.write(head.encode() + body)
--- a/tests/check_platform.c
+++ b/tests/check_platform.c
@@ -132,6 +132,21 @@
 }
 END_TEST
 
+/* A key with a NUL stopped the reading of all keys. */
+START_TEST(test_key_with_nul)
+{
+	static const char text[] =
+		"{\"items\":[{\"key\":\"servers/i\\u0000x\",\"value\":\"\","
+		"\"revision\":7}],\"as_of\":9}";
+	struct error err = { 0 };
+	struct store_reply got;
+
+	ck_assert_int_eq(platform_range_reply(STR(text), &got, pool, &err), 0);
+	ck_assert_uint_eq(got.count, 1);
+	ck_assert(str_eq(got.items[0].key, STR("servers/i\0x")));
+}
+END_TEST
+
 #define ENTRY(more) \
 	"{\"service\":\"s\",\"addr\":\"10.0.0.1:80\",\"zone\":\"z\"," \
 	"\"version\":\"v1\",\"slots\":2,\"cold_left_ms\":0" more "}"
@@ -253,6 +268,7 @@
 	tcase_add_loop_test(tcase, test_settings, 0, COUNT(settings));
 	tcase_add_loop_test(tcase, test_pages, 0, COUNT(pages));
 	tcase_add_test(tcase, test_changes);
+	tcase_add_test(tcase, test_key_with_nul);
 	tcase_add_loop_test(tcase, test_entries, 0, COUNT(entries));
 	tcase_add_loop_test(tcase, test_configs, 0, COUNT(configs));
 	tcase_add_loop_test(tcase, test_keys, 0, COUNT(keys));
--- a/tests/run.py
+++ b/tests/run.py
@@ -24,6 +24,7 @@
 import tier_answers  # noqa: E402  (needs BUILD)
 import tier_limits  # noqa: E402  (needs BUILD)
 import tier_process  # noqa: E402  (needs BUILD)
+import tier_reports  # noqa: E402  (needs BUILD)
 
 FUZZ_SEEDS = "24"
 TIER_SEEDS = "200"
@@ -159,7 +160,8 @@
         "soak copies", sys.executable, "soak/soak.py",
         f"{BUILD}/wasabimoor", *SOAK_SEEDS, *COPIES_SOAK)
     for i, test in enumerate(process.TESTS + tier_process.TESTS +
-                             tier_limits.TESTS + tier_answers.TESTS):
+                             tier_limits.TESTS + tier_answers.TESTS +
+                             tier_reports.TESTS):
         yield test.__name__, lambda t=test, b=(
             FIRST_PORT + PORTS_PER_TEST * i): run_process(t, b)
 
