--- a/str.c
+++ b/str.c
@@ -13,6 +13,17 @@
 	BUF_MIN_BYTES = 64
 };
 
+bool str_is_text(struct str s)
+{
+	for (size_t i = 0; i < s.len; i++) {
+		unsigned char c = (unsigned char)s.ptr[i];
+
+		if (c == 0x7f || (c < ' ' && c != '\t'))
+			return false;
+	}
+	return true;
+}
+
 uint64_t str_hash(struct str s)
 {
 	uint64_t hash = XXH64(s.ptr ? s.ptr : "", s.len, 0);
--- a/str.h
+++ b/str.h
@@ -49,6 +49,9 @@
 	return (struct str){ buf->ptr, buf->len };
 }
 
+/** str_is_text() - whether @s has no control bytes but tabs. */
+bool str_is_text(struct str s);
+
 /** str_hash() - 64-bit xxHash of the bytes; never 0, which means "none". */
 uint64_t str_hash(struct str s);
 
--- a/tests/check_platform.c
+++ b/tests/check_platform.c
@@ -187,6 +187,27 @@
 }
 END_TEST
 
+static const struct str bad_ids[] = {
+	{ "servers/a\r\nX: 1", 15 },
+	{ "servers/a\nX: 1", 14 },
+	{ "servers/a\0b", 11 },
+	{ "servers/a\177", 10 },
+};
+
+/* A key with a line end put another header into requests to its target. */
+START_TEST(test_bad_id)
+{
+	struct error err = { 0 };
+	struct store_record record;
+	int code = platform_decode(bad_ids[_i],
+				   STR(ENTRY(",\"state\":\"ready\",\"seq\":4")),
+				   &record, pool, &err);
+
+	ck_assert_int_eq(code, ERR_LIST);
+	ck_assert_int_eq(record.kind, STORE_RECORD_TARGET);
+}
+END_TEST
+
 static const struct input configs[] = {
 	{ "{\"version\":1,\"routes\":[],\"services\":[],\"limits\":{}}", NULL },
 	{ "{\"version\":1,\"routes\":[],\"services\":[]}", NULL },
@@ -270,6 +291,7 @@
 	tcase_add_test(tcase, test_changes);
 	tcase_add_test(tcase, test_key_with_nul);
 	tcase_add_loop_test(tcase, test_entries, 0, COUNT(entries));
+	tcase_add_loop_test(tcase, test_bad_id, 0, COUNT(bad_ids));
 	tcase_add_loop_test(tcase, test_configs, 0, COUNT(configs));
 	tcase_add_loop_test(tcase, test_keys, 0, COUNT(keys));
 	tcase_add_test(tcase, test_uris);
