--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -48,6 +48,16 @@
     return head.encode() + b"\r\n" + body
 
 
+def broken_response(headers, body):
+    """An answer that is none, in one line of its head."""
+    status = random.choice(("200", "000", "099", "20", "600", " 200", "0200"))
+    name = "X-Broken"
+    if status == "200":
+        at = random.randrange(len(name))
+        name = name[:at] + random.choice(" \t\0\1\r\x7f(") + name[at:]
+    return response(status, {name: "1", "X-Broken": "1", **headers}, body)
+
+
 def part_records(target_id, request_id):
     """Records a target returns for its shard; the checks compute them too."""
     seed = f"{target_id}/{request_id}".encode()
@@ -181,6 +191,7 @@
         self.link_faults = []  # (start, end) of disturbances of its link
         self.shed_share = self.drop_share = self.duplicate_share = 0.0
         self.copy_share = 0.0  # replies that come once more, later
+        self.broken_share = 0.0
         self.paused_until = 0.0
         self.cold_left_ms = 0
         self.server = None
@@ -236,6 +247,8 @@
         headers = {"Request-Id": request_id,
                    "Response-Stamp": f"{self.id}.{request_id}",
                    "Server-Load": "1,0,2", **self.reply_headers}
+        if random.random() < self.broken_share:
+            return broken_response(headers, out)
         if self.make_reply:
             return self.make_reply(headers, out)
         return response(200, headers, out)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,6 +26,11 @@
     "copies": (("copy_rejections", "copy_rejections", "copy_rejections",
                 "pause_node", "reset_links", "kill_node", "reload_node"),
                (0.3, 1.5)),
+    # Targets send answers that are none.
+    "broken": (("break_answers", "break_answers", "break_answers",
+                "break_answers", "duplicate_replies", "reset_links",
+                "pause_node", "kill_node", "stop_node", "reload_node"),
+               (0.1, 0.6)),
     "restarts": (("kill_each", "stop_each", "kill_all", "kill_node",
                   "pause_node", "pause_node", "drop_many_replies",
                   "drop_many_replies", "reset_links"), (0.3, 3.0)),
@@ -59,6 +64,12 @@
         await asyncio.sleep(1)
         target.duplicate_share = 0
 
+    async def break_answers(self):
+        target = self.random_target()
+        target.broken_share = self.rng.choice((0.1, 0.5, 1.0))
+        await asyncio.sleep(self.rng.uniform(0.5, 2.0))
+        target.broken_share = 0
+
     async def copy_rejections(self):
         """Full targets reject requests, and send their replies twice."""
         targets = [t for t in self.targets if t.service == "single"]
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -301,6 +301,8 @@
         if reply in (None, "timed out"):
             return
         status, headers, body = reply
+        if not 200 <= status <= 599 or "x-broken" in headers:
+            self.report(f"{request_id}: a broken answer was passed on")
         if status == 404:
             self.report(f"{request_id}: status 404 for a configured route")
         if status == 503 and kind == "once":
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -32,7 +32,8 @@
                         help="third octet of the nodes' IP addresses")
     parser.add_argument("--shape", choices=SHAPES, default="small")
     parser.add_argument("--faults", default="mixed",
-                        help="mixed, restarts, removals, cuts, copies, or "
+                        help="mixed, restarts, removals, cuts, copies, "
+                        "broken, or "
                         "names of faults: "
                         "kill_each,pause_node")
     parser.add_argument("--lost-share", type=float, default=0,
--- a/tests/fuzz_input.c
+++ b/tests/fuzz_input.c
@@ -2,12 +2,15 @@
  * Coverage-guided fuzzing (libFuzzer) of all decoders: the first byte selects
  * the decoder. Built and run by scripts/fuzz.sh.
  */
+#include <stdlib.h>
+
 #include <apr_general.h>
 
 #include "../config.h"
 #include "../doc.h"
 #include "../payload.h"
 #include "../platform/platform.h"
+#include "../reply.h"
 #include "../request.h"
 #include "../target.h"
 #include "../wire.h"
@@ -99,9 +102,47 @@
 	apr_pool_destroy(pool);
 }
 
+static void check_heads(const struct reply *reply)
+{
+	int status = (int)reply->parser.status_code;
+
+	if (!reply->done)
+		return;
+	if (status < 200 || status > 599)
+		abort();
+	for (size_t i = 0; i < reply->headers.count; i++) {
+		struct header header = headers_at(&reply->headers, i);
+
+		for (size_t j = 0; j < header.name.len; j++)
+			if (!header_is_token_char(header.name.ptr[j]))
+				abort();
+		if (!header.name.len || !str_is_text(header.value))
+			abort();
+	}
+}
+
+/* The first byte is the length of the pieces that the others come in. */
+static void fuzz_reply(struct str in)
+{
+	struct reply reply = { .body_max = 256 };
+	size_t piece = in.len ? (unsigned char)*in.ptr + 1U : 1;
+
+	reply_reset(&reply);
+	for (size_t at = 1; at < in.len && !reply.done; at += piece) {
+		size_t left = in.len - at;
+
+		if (reply_parse(&reply, in.ptr + at,
+				left < piece ? left : piece) < 0)
+			break;
+	}
+	check_heads(&reply);
+	reply_free(&reply);
+}
+
 static void (*const decoders[])(struct str in) = {
-	fuzz_frame,  fuzz_fleet,	fuzz_lists,    fuzz_settings,
-	fuzz_caller, fuzz_target_reply, fuzz_platform, fuzz_parcel,
+	fuzz_frame,    fuzz_fleet,  fuzz_lists,
+	fuzz_settings, fuzz_caller, fuzz_target_reply,
+	fuzz_platform, fuzz_parcel, fuzz_reply,
 };
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
--- a/tests/run.py
+++ b/tests/run.py
@@ -48,6 +48,10 @@
 COPIES_SOAK = ("--faults", "copies", "--shape", "narrow", "--nodes", "3",
                "--poison-gap", "0", "--seconds", "8", "--net", "54",
                "--port", "19900")
+# Targets send answers that are none.
+BROKEN_SOAK = ("--faults", "broken", "--shape", "narrow", "--nodes", "3",
+               "--poison-gap", "0", "--seconds", "8", "--net", "55",
+               "--port", "19950")
 SOAK_SEEDS, SOAK_SECONDS = ("1", "1"), "5"  # longer runs: soak/soak.py
 SAFEGUARDS = {  # safeguard to turn off: fault that fuzzing must then report
     "no_ramp": "a cold target was overloaded",
@@ -159,6 +163,9 @@
     yield "soak copies", lambda: run_program(
         "soak copies", sys.executable, "soak/soak.py",
         f"{BUILD}/wasabimoor", *SOAK_SEEDS, *COPIES_SOAK)
+    yield "soak broken", lambda: run_program(
+        "soak broken", sys.executable, "soak/soak.py",
+        f"{BUILD}/wasabimoor", *SOAK_SEEDS, *BROKEN_SOAK)
     for i, test in enumerate(process.TESTS + tier_process.TESTS +
                              tier_limits.TESTS + tier_answers.TESTS +
                              tier_reports.TESTS):
