Test: broken answers of the store are not taken, and do not end the reading

The reader of the store has its replies from the same parser as the tier's, so that the rule of the heads mended it too; no test said so.

--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -75,6 +75,7 @@
         self.history_from = 0  # changes up to this revision are forgotten
         self.calls = 0
         self.watching = set()  # connections on which a watch waits
+        self.make_reply = None  # (headers, body) -> bytes of another form
 
     def put(self, key, value):
         self.revision += 1
@@ -110,6 +111,11 @@
         events = [self.item(k) for k, (_, r) in self.keys.items() if r > after]
         return {"events": events, "as_of": self.revision}
 
+    def reply(self, body):
+        if self.make_reply:
+            return self.make_reply({}, body)
+        return response(200, {}, body)
+
     async def serve(self, reader, writer):
         try:
             while (head := await read_head(reader)):
@@ -122,7 +128,7 @@
                     writer.write(response(503, {}, b""))
                 elif path == "/kv-range":
                     body = json.dumps(self.range(args["prefix"])).encode()
-                    writer.write(response(200, {}, body))
+                    writer.write(self.reply(body))
                 elif int(args["after"]) < self.history_from:
                     writer.write(response(410, {}, b""))
                 else:
@@ -130,8 +136,7 @@
                     changes = await self.watch(int(args["after"]),
                                                int(args["wait_ms"]) / 1000)
                     self.watching.discard(writer)
-                    writer.write(response(
-                        200, {}, json.dumps(changes).encode()))
+                    writer.write(self.reply(json.dumps(changes).encode()))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
--- a/tests/tier_answers.py
+++ b/tests/tier_answers.py
@@ -222,6 +222,36 @@
     run_scenario(port, scenario)
 
 
+async def check_limit(fleet, limit):
+    """Whether the node follows the configuration with this limit."""
+    answer = await fleet.send_request(0, "one", f"l{len(fleet.requests)}",
+                                      headers="X: " + "x" * limit + "\r\n")
+    return answer[0] == 431
+
+
+def test_broken_answers_of_store(port):
+    """What the store sends that is no answer is not taken from it, and does
+    not end the reading."""
+    async def scenario(fleet):
+        failed = []
+        forms = {**BROKEN_STATUS_LINES, **BROKEN_FIELDS, **FRAMING}
+        limit = 12000
+        for name, form in forms.items():
+            limit -= 100
+            fleet.store.make_reply = form.bytes
+            fleet.limits["max_header_bytes"] = limit
+            fleet.version += 1
+            fleet.configure()
+            await asyncio.sleep(0.3)
+            if await check_limit(fleet, limit):
+                failed.append(f"{name!r}: taken")
+        fleet.store.make_reply = None
+        await asyncio.sleep(1.5)
+        assert await check_limit(fleet, limit), "the store is not followed"
+        assert not failed, "\n".join(failed)
+    run_scenario(port, scenario)
+
+
 def status_from(port, reply):
     """The command that shows a node's state, and a node that answers so."""
     listener = socket.create_server(("127.0.0.1", port))
@@ -254,7 +284,8 @@
     assert done.returncode == 0 and "right" in done.stdout, done
 
 
-TESTS = [test_command_shows_no_broken_answer,
+TESTS = [test_broken_answers_of_store,
+         test_command_shows_no_broken_answer,
          test_broken_status_is_no_answer, test_broken_field_is_no_answer,
          test_ambiguous_answer_is_none, test_broken_framing_is_no_answer,
          test_broken_answer_of_one_target,
