--- a/tests/tier_process.py
+++ b/tests/tier_process.py
@@ -101,6 +101,16 @@
     run_case(port + 1, "once", break_target, 502, "it may have run")
 
 
+def test_broken_answer_explained(port):
+    """The target's answer is none: the caller receives 502, and the log says
+    what came and that the request may have run."""
+    def break_target(target):
+        target.make_reply = lambda headers, body: (
+            b"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n")
+    run_case(port + 3, "once", break_target, 502, "reply is no HTTP")
+    run_case(port + 5, "once", break_target, 502, "it may have run")
+
+
 def test_partial_answer_explained(port):
     """Both targets of a shard hang: the answer leaves the shard out."""
     def break_target(target):
@@ -170,5 +180,6 @@
 
 
 TESTS = [test_refusal_explained, test_unknown_outcome_explained,
-         test_partial_answer_explained, test_stopped_reader,
+         test_partial_answer_explained, test_broken_answer_explained,
+         test_stopped_reader,
          test_blocked_request_explained, test_reload_signal_at_start]
