A chunk ends with CR and line feed

Found by reading the rule again: its line ends may lack the CR, but behind a chunk the parser drops two bytes, so that "3 one LF 00" was taken for the last chunk by both, by chance. check-broken, "a chunk that ends without CR": accepted before, refused after. libcurl reads such a chunk whole; nothing to mend there.

--- a/reply_syntax.c
+++ b/reply_syntax.c
@@ -149,10 +149,11 @@
 	return c == ';' || c == ' ' || c == '\t';
 }
 
+/* The parser drops two bytes here: without the CR, one of the next size. */
 static bool take_data_end(struct reply_syntax *syntax, unsigned char c)
 {
 	reply_syntax_chunks(syntax);
-	return c == '\n';
+	return c == '\n' && syntax->after_cr;
 }
 
 static bool (*const steps[SYNTAX_STATES])(struct reply_syntax *syntax,
@@ -173,14 +174,17 @@
 /* A CR is a part of a line end, or none of a reply. */
 static bool take(struct reply_syntax *syntax, unsigned char c)
 {
-	bool ends_line = syntax->after_cr;
+	bool taken;
 
-	syntax->after_cr = c == '\r';
-	if (syntax->after_cr)
-		return !ends_line;
-	if (ends_line && c != '\n')
+	if (syntax->after_cr && c != '\n')
 		return false;
-	return steps[syntax->state](syntax, c);
+	if (c == '\r') {
+		syntax->after_cr = true;
+		return true;
+	}
+	taken = steps[syntax->state](syntax, c);
+	syntax->after_cr = false;
+	return taken;
 }
 
 static size_t skip_data(struct reply_syntax *syntax, size_t len)
--- a/tests/reply_forms.h
+++ b/tests/reply_forms.h
@@ -124,6 +124,8 @@
 	  BYTES(OK_LINE ID "request-id: r2\r\n" LENGTH "\r\none") },
 	{ "an id and an empty one", BYTES(OK_LINE "Request-Id:\r\n" REST) },
 	{ "two signatures", BYTES(OK_LINE "Response-Stamp: s2\r\n" REST) },
+	{ "two signatures in one line",
+	  BYTES(OK_LINE "Response-Stamp: s1, s2\r\n" ID LENGTH "\r\none") },
 	{ "two signatures, with a field between",
 	  BYTES(OK_LINE STAMP "X: 1\r\nresponse-stamp: s2\r\n" ID LENGTH
 			      "\r\none") },
@@ -164,6 +166,8 @@
 	  BYTES(HEAD CHUNKED "\r\n10000000000000003\r\none\r\n0\r\n\r\n") },
 	{ "a chunk longer than its size",
 	  BYTES(HEAD CHUNKED "\r\n3\r\nonexx0\r\n\r\n") },
+	{ "a chunk that ends without CR",
+	  BYTES(HEAD CHUNKED "\r\n3\r\none\n00\r\n\r\n") },
 	{ "a chunk without an end", BYTES(HEAD CHUNKED "\r\n3\r\none\r\r0") },
 	{ "0x01 in a chunk's extension",
 	  BYTES(HEAD CHUNKED "\r\n3;a\001b\r\none\r\n0\r\n\r\n") },
