Two signatures in one line are two

Lines of one name and a list in one of them mean the same. As a part of an answer over shards, "s1, s2" would have made two entries of the signatures, one that no target sent. check-broken, "two signatures in one line": accepted before, refused after.

--- a/reply.c
+++ b/reply.c
@@ -67,10 +67,21 @@
 	return false;
 }
 
+/* A comma stands between signatures, also in the answer over all shards. */
+static bool is_list(const struct headers *headers, struct str name)
+{
+	struct str value = headers_find(headers, name);
+
+	return value.len && memchr(value.ptr, ',', value.len);
+}
+
 static bool is_ambiguous(const struct reply *reply)
 {
+	struct str signature_name = buf_str(&reply->signature_name);
+
 	return has_two_values(&reply->headers, buf_str(&reply->echo_name)) ||
-	       has_two_values(&reply->headers, buf_str(&reply->signature_name));
+	       has_two_values(&reply->headers, signature_name) ||
+	       is_list(&reply->headers, signature_name);
 }
 
 /*
