One test of text bytes; heads of idle transfers are freed

Read as a newcomer: the grammar and the ids of targets had the test of a text byte each; the grammar kept a status that nobody read; a transfer that waits for its next use kept the headers of the last reply, up to 1 MiB of a faulty target.

--- a/fetch.c
+++ b/fetch.c
@@ -269,6 +269,8 @@
 		t->next->prev = t->prev;
 	curl_slist_free_all(t->headers);
 	t->headers = NULL;
+	/* A faulty target's headers are large, and idle handles are many. */
+	reply_free(&t->head);
 	if (fetcher->nidle >= MAX_IDLE_HANDLES) {
 		transfer_free(t);
 		return;
--- a/reply_syntax.c
+++ b/reply_syntax.c
@@ -13,12 +13,6 @@
 
 static const char version[] = "HTTP/1.";
 
-/* A byte of a reason phrase, a value or a chunk's extension. */
-static bool is_text_char(unsigned char c)
-{
-	return c == '\t' || (c >= ' ' && c != 0x7f);
-}
-
 static void enter(struct reply_syntax *syntax, enum syntax_state state)
 {
 	syntax->state = state;
@@ -36,7 +30,6 @@
 	if (index == sizeof(version) - 1)
 		return apr_isdigit(c);
 	enter(syntax, SYNTAX_STATUS);
-	syntax->status = 0;
 	return c == ' ';
 }
 
@@ -54,7 +47,6 @@
 		return false;
 	if (!syntax->index && (c == '0' || c > '0' + STATUS_CLASS_MAX))
 		return false;
-	syntax->status = syntax->status * 10 + (c - '0');
 	if (++syntax->index == STATUS_DIGITS)
 		enter(syntax, SYNTAX_STATUS_END);
 	return true;
@@ -78,7 +70,7 @@
 static bool take_reason(struct reply_syntax *syntax, unsigned char c)
 {
 	if (c != '\n')
-		return is_text_char(c);
+		return char_is_text((char)c);
 	begin_lines(syntax);
 	return true;
 }
@@ -108,7 +100,7 @@
 static bool take_value(struct reply_syntax *syntax, unsigned char c)
 {
 	if (c != '\n')
-		return is_text_char(c);
+		return char_is_text((char)c);
 	syntax->folds = true;
 	enter(syntax, SYNTAX_LINE);
 	return true;
@@ -125,7 +117,7 @@
 
 static bool take_extension(struct reply_syntax *syntax, unsigned char c)
 {
-	return c == '\n' ? end_size(syntax) : is_text_char(c);
+	return c == '\n' ? end_size(syntax) : char_is_text((char)c);
 }
 
 static unsigned int hex_value(unsigned char c)
--- a/reply_syntax.h
+++ b/reply_syntax.h
@@ -40,7 +40,6 @@
  * struct reply_syntax - position in a reply
  * @after_cr: the next byte has to end the line
  * @index: bytes of the version, status or size so far
- * @status: status of the head, as far as read
  * @folds: the next line may continue the last one
  * @size: bytes of the chunk that are to come
  */
@@ -48,7 +47,6 @@
 	enum syntax_state state;
 	bool after_cr;
 	unsigned int index;
-	int status;
 	bool folds;
 	uint64_t size;
 };
--- a/str.c
+++ b/str.c
@@ -15,12 +15,9 @@
 
 bool str_is_text(struct str s)
 {
-	for (size_t i = 0; i < s.len; i++) {
-		unsigned char c = (unsigned char)s.ptr[i];
-
-		if (c == 0x7f || (c < ' ' && c != '\t'))
+	for (size_t i = 0; i < s.len; i++)
+		if (!char_is_text(s.ptr[i]))
 			return false;
-	}
 	return true;
 }
 
--- a/str.h
+++ b/str.h
@@ -49,7 +49,15 @@
 	return (struct str){ buf->ptr, buf->len };
 }
 
-/** str_is_text() - whether @s has no control bytes but tabs. */
+/** char_is_text() - whether @c is no control byte, or a tab. */
+static inline bool char_is_text(char c)
+{
+	unsigned char byte = (unsigned char)c;
+
+	return byte == '\t' || (byte >= ' ' && byte != 0x7f);
+}
+
+/** str_is_text() - whether char_is_text() holds for all of @s. */
 bool str_is_text(struct str s);
 
 /** str_hash() - 64-bit xxHash of the bytes; never 0, which means "none". */
