--- a/tests/tier_answers.py
+++ b/tests/tier_answers.py
@@ -1,20 +1,16 @@
 """Process tests of the tier: what a target sends that is no answer."""
 
-import argparse
 import asyncio
 import os
 import socket
 import subprocess
-import sys
 import threading
 import time
 from typing import NamedTuple
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
-                                "..", "soak"))
-from fleet import Fleet  # noqa: E402  (in soak/)
+import tier_fleet
 
-FIRST_NET, SEED = 90, 1
+FIRST_NET = 90
 # Well before the deadline of a request: a broken answer ends it at once.
 ANSWER_S = 1.0
 # A share of the retry budget accrues from when the nodes have met.
@@ -92,20 +88,7 @@
 
 
 def run_scenario(port, scenario):
-    args = argparse.Namespace(shape="small", nodes=2, port=port, seconds=1,
-                              net=FIRST_NET + port // 400 % 10)
-    fleet = Fleet(os.environ["BUILD"] + "/wasabimoor", SEED, args)
-
-    async def whole():
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        await fleet.start_all()
-        await scenario(fleet)
-
-    try:
-        asyncio.run(whole())
-    finally:
-        fleet.close()
-    assert not fleet.violations, fleet.violations
+    tier_fleet.run_scenario(port, FIRST_NET + port // 400 % 10, scenario)
 
 
 def send_form(targets, form, byte_by_byte=False):
--- a/tests/tier_limits.py
+++ b/tests/tier_limits.py
@@ -1,18 +1,13 @@
 """Process tests of the tier: the configuration's limits are those in force."""
 
-import argparse
 import asyncio
-import os
-import sys
 import time
 from typing import NamedTuple
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
-                                "..", "soak"))
-import fakes  # noqa: E402  (in soak/)
-from fleet import Fleet  # noqa: E402  (in soak/)
+import tier_fleet  # also makes the modules of soak/ known
+import fakes
 
-FIRST_NET, SEED = 80, 1
+FIRST_NET = 80
 ANSWER_S = 3.0
 
 
@@ -53,21 +48,7 @@
 
 
 def run_scenario(port, scenario, **limits):
-    args = argparse.Namespace(shape="small", nodes=2, port=port, seconds=1,
-                              net=FIRST_NET + port % 100)
-    fleet = Fleet(os.environ["BUILD"] + "/wasabimoor", SEED, args)
-    fleet.limits.update(limits)
-
-    async def whole():
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        await fleet.start_all()
-        await scenario(fleet)
-
-    try:
-        asyncio.run(whole())
-    finally:
-        fleet.close()
-    assert not fleet.violations, fleet.violations
+    tier_fleet.run_scenario(port, FIRST_NET + port % 100, scenario, **limits)
 
 
 async def check_served(fleet, name, case):
--- a/tests/tier_reports.py
+++ b/tests/tier_reports.py
@@ -1,18 +1,13 @@
 """Process tests of the tier: stops and odd entries that operators reported."""
 
-import argparse
 import asyncio
 import json
-import os
 import signal
-import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
-                                "..", "soak"))
-from fleet import Fleet  # noqa: E402  (in soak/)
+import tier_fleet
 
-FIRST_NET, SEED, NODES = 100, 1, 3
+FIRST_NET, NODES = 100, 3
 # grace_s of the settings, without the time to write the last answers.
 GRACE_S = 3.0
 # A route may allow more time than a stop.
@@ -21,22 +16,9 @@
 STOPPED = (0, 1)
 
 
-def run_scenario(port, scenario, timeout_ms=1500):
-    args = argparse.Namespace(shape="small", nodes=NODES, port=port,
-                              seconds=1, net=FIRST_NET + port // 400 % 10)
-    fleet = Fleet(os.environ["BUILD"] + "/wasabimoor", SEED, args)
-    fleet.timeout_ms = timeout_ms
-
-    async def whole():
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        await fleet.start_all()
-        await scenario(fleet)
-
-    try:
-        asyncio.run(whole())
-    finally:
-        fleet.close()
-    assert not fleet.violations, fleet.violations
+def run_scenario(port, scenario, **options):
+    tier_fleet.run_scenario(port, FIRST_NET + port // 400 % 10, scenario,
+                            nodes=NODES, **options)
 
 
 async def call_until_gone(fleet, number, unanswered):
@@ -82,7 +64,7 @@
 def test_stop_cuts_no_late_request(port):
     """Two nodes are stopped at once: requests that come late in the grace
     period, of routes that allow more time than it, were cut."""
-    run_scenario(port, check_stop, TIMEOUT_MS)
+    run_scenario(port, check_stop, timeout_ms=TIMEOUT_MS)
 
 
 def odd_entries(valid):
