Tests: the store's forms one by one; all shards of a question broken

Two tests of this work said too little or too much.

test_broken_answers_of_store. Now the limits lie further apart, and each form has to reach the node three times.

test_broken_answers_of_all_shards is new. An earlier form of the test of parts broke all shards and was narrowed to one, as the question lasted until its deadline (no_budget). That was the test's single node, whose seeds do not exist: it holds no share of the retries. So the check is back, and the case is not open.

--- a/tests/tier_answers.py
+++ b/tests/tier_answers.py
@@ -15,7 +15,11 @@
 ANSWER_S = 1.0
 # A share of the retry budget accrues from when the nodes have met.
 BUDGET_ACCRUES_S = 3.0
+# First sends that the next retries of all shards may be counted against.
+RECOVERING_REQUESTS = 12
 KINDS = ("one", "once", "all")
+# More than the lines of a request besides the one of the limit's size.
+LIMIT_STEP = 400
 
 
 class Form(NamedTuple):
@@ -187,6 +191,25 @@
     run_scenario(port, scenario)
 
 
+def test_broken_answers_of_all_shards(port):
+    """A question of which no shard can be had any more fails at once."""
+    async def scenario(fleet):
+        await asyncio.sleep(BUDGET_ACCRUES_S)
+        failed = []
+        forms = {**BROKEN_STATUS_LINES, **BROKEN_FIELDS, **FRAMING}
+        for name, form in forms.items():
+            send_form(fleet.targets, form)
+            answer = await ask(fleet, "all", f"q{len(fleet.requests)}")
+            if answer.status != 502 or answer.seconds > ANSWER_S:
+                failed.append(f"{name!r}: {answer.status} after "
+                              f"{answer.seconds:.3f} s")
+            send_form(fleet.targets, None)
+            for _ in range(RECOVERING_REQUESTS):
+                await ask(fleet, "all", f"q{len(fleet.requests)}")
+        assert not failed, "\n".join(failed)
+    run_scenario(port, scenario)
+
+
 def test_sound_answers_served(port):
     """A rule for broken answers must not refuse sound ones."""
     async def scenario(fleet):
@@ -205,6 +228,14 @@
     run_scenario(port, scenario)
 
 
+async def wait_until(condition):
+    for _ in range(100):
+        if condition():
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError("the store was not read")
+
+
 async def check_limit(fleet, limit):
     """Whether the node follows the configuration with this limit."""
     answer = await fleet.send_request(0, "one", f"l{len(fleet.requests)}",
@@ -218,14 +249,20 @@
     async def scenario(fleet):
         failed = []
         forms = {**BROKEN_STATUS_LINES, **BROKEN_FIELDS, **FRAMING}
-        limit = 12000
+        limit = 16000
         for name, form in forms.items():
-            limit -= 100
-            fleet.store.make_reply = form.bytes
+            limit -= LIMIT_STEP
+            sent = []
+
+            def make_reply(headers, body, form=form, sent=sent):
+                sent.append(body)
+                return form.bytes(headers, body)
+            fleet.store.make_reply = make_reply
             fleet.limits["max_header_bytes"] = limit
             fleet.version += 1
             fleet.configure()
-            await asyncio.sleep(0.3)
+            await wait_until(lambda: len(sent) > 2)
+            await asyncio.sleep(0.2)
             if await check_limit(fleet, limit):
                 failed.append(f"{name!r}: taken")
         fleet.store.make_reply = None
@@ -273,4 +310,5 @@
          test_broken_status_is_no_answer, test_broken_field_is_no_answer,
          test_ambiguous_answer_is_none, test_broken_framing_is_no_answer,
          test_broken_answer_of_one_target,
+         test_broken_answers_of_all_shards,
          test_sound_answers_served]
