Known failures: seven forms that no test said were open

A sound form (a tab behind a length) was taken out of the table of check-broken when the library refused it, and six forms were passed over in check-fetch, where libcurl decides.

--- a/tests/check_broken.c
+++ b/tests/check_broken.c
@@ -83,6 +83,14 @@
 	reply_free(&reply);
 }
 
+static void check_sound_in_pieces(const struct sound *c)
+{
+	check_sound(c, c->bytes.len, 1);
+	check_sound(c, 1, 1);
+	for (size_t cut = 1; cut < c->bytes.len; cut++)
+		check_sound(c, cut, c->bytes.len);
+}
+
 /* An answer of status 000, and others that are none, reached callers. */
 START_TEST(test_broken_status_line)
 {
@@ -114,12 +122,13 @@
 /* A sound reply that is refused is run again elsewhere, or lost. */
 START_TEST(test_sound)
 {
-	const struct sound *c = &sound[_i];
+	check_sound_in_pieces(&sound[_i]);
+}
+END_TEST
 
-	check_sound(c, c->bytes.len, 1);
-	check_sound(c, 1, 1);
-	for (size_t cut = 1; cut < c->bytes.len; cut++)
-		check_sound(c, cut, c->bytes.len);
+START_TEST(test_open)
+{
+	check_sound_in_pieces(&sound_open[_i]);
 }
 END_TEST
 
@@ -291,7 +300,15 @@
 	tcase_add_test(tcase, test_random_heads);
 }
 
-int main(void)
+static void add_open_tests(TCase *tcase)
+{
+	tcase_add_loop_test(tcase, test_open, 0, COUNT(sound_open));
+}
+
+/* With an argument, the cases that fail. */
+int main(int argc, char **argv)
 {
-	return suite_run("broken replies", add_tests);
+	(void)argv;
+	return suite_run("broken replies",
+			 argc > 1 ? add_open_tests : add_tests);
 }
--- a/tests/check_fetch.c
+++ b/tests/check_fetch.c
@@ -285,30 +285,28 @@
 }
 
 /*
- * libcurl shows neither a CR that ends no line nor what stands about a chunk,
- * and refuses two sound forms that no target sends.
+ * Cases that fail: libcurl shows neither a CR that ends no line nor what stands
+ * about a chunk, and refuses two sound forms.
  */
-static bool library_decides(const char *name)
+static const char *const open_names[] = {
+	"CR in place of the empty line",
+	"0x01 in a chunk's extension",
+	"CR in a chunk's extension",
+	"a chunk that ends without CR",
+	"HTTP/1.9",
+	"may: empty lines first",
+};
+
+static bool is_open(const char *name)
 {
-	static const char *const names[] = {
-		"CR in place of the empty line",
-		"0x01 in a chunk's extension",
-		"CR in a chunk's extension",
-		"a chunk that ends without CR",
-		"HTTP/1.9",
-		"may: empty lines first",
-	};
-
-	for (int i = 0; i < COUNT(names); i++)
-		if (!strcmp(names[i], name))
+	for (int i = 0; i < COUNT(open_names); i++)
+		if (!strcmp(open_names[i], name))
 			return true;
 	return false;
 }
 
 static void check_broken(const struct broken *c)
 {
-	if (names_another_request(c->name) || library_decides(c->name))
-		return;
 	for (int byte_by_byte = 0; byte_by_byte < 2; byte_by_byte++) {
 		struct outcome out = fetch_form(c->bytes, byte_by_byte);
 
@@ -320,32 +318,33 @@
 	}
 }
 
+static void check_broken_unless_open(const struct broken *c)
+{
+	if (!names_another_request(c->name) && !is_open(c->name))
+		check_broken(c);
+}
+
 /* The library took status 0, and names with a blank, for an answer. */
 START_TEST(test_broken_status_line)
 {
-	check_broken(&broken_status_lines[_i]);
+	check_broken_unless_open(&broken_status_lines[_i]);
 }
 END_TEST
 
 START_TEST(test_broken_field)
 {
-	check_broken(&broken_fields[_i]);
+	check_broken_unless_open(&broken_fields[_i]);
 }
 END_TEST
 
 START_TEST(test_broken_framing)
 {
-	check_broken(&broken_framing[_i]);
+	check_broken_unless_open(&broken_framing[_i]);
 }
 END_TEST
 
-START_TEST(test_sound)
+static void check_sound(const struct sound *c)
 {
-	const struct sound *c = &sound[_i];
-
-	if (names_another_request(c->name) || library_decides(c->name) ||
-	    c->eof)
-		return;
 	for (int byte_by_byte = 0; byte_by_byte < 2; byte_by_byte++) {
 		struct outcome out = fetch_form(c->bytes, byte_by_byte);
 
@@ -355,6 +354,41 @@
 		ck_assert_str_eq(out.body, c->body);
 	}
 }
+
+START_TEST(test_sound)
+{
+	const struct sound *c = &sound[_i];
+
+	if (!names_another_request(c->name) && !is_open(c->name) && !c->eof)
+		check_sound(c);
+}
+END_TEST
+
+static bool check_broken_named(const struct broken *table, int count,
+			       const char *name)
+{
+	for (int i = 0; i < count; i++)
+		if (!strcmp(table[i].name, name)) {
+			check_broken(&table[i]);
+			return true;
+		}
+	return false;
+}
+
+START_TEST(test_open)
+{
+	const char *name = open_names[_i];
+	bool found =
+		check_broken_named(broken_fields, COUNT(broken_fields), name) ||
+		check_broken_named(broken_framing, COUNT(broken_framing), name);
+
+	for (int i = 0; i < COUNT(sound); i++)
+		if (!strcmp(sound[i].name, name)) {
+			check_sound(&sound[i]);
+			found = true;
+		}
+	ck_assert(found);
+}
 END_TEST
 
 /** struct endless - bytes of a target that never ends its reply */
@@ -440,8 +474,15 @@
 	tcase_add_test(tcase, test_refused);
 }
 
-int main(void)
+static void add_open_tests(TCase *tcase)
+{
+	tcase_add_loop_test(tcase, test_open, 0, COUNT(open_names));
+}
+
+/* With an argument, the cases that fail. */
+int main(int argc, char **argv)
 {
+	(void)argv;
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	return suite_run("fetch", add_tests);
+	return suite_run("fetch", argc > 1 ? add_open_tests : add_tests);
 }
--- a/tests/reply_forms.h
+++ b/tests/reply_forms.h
@@ -272,3 +272,9 @@
 		"\r\n2\r\nno\r\n0\r\n\r\n" OK_LINE REST),
 	  200, "one", false },
 };
+
+/* Refused: the parser takes a tab for no part of a length. */
+static const struct sound sound_open[] = {
+	{ "blanks and tabs about the length",
+	  BYTES(HEAD "Content-Length: \t3 \t\r\n\r\none"), 200, "one", false },
+};
--- a/tests/run.py
+++ b/tests/run.py
@@ -87,7 +87,8 @@
 
 def run_check(name):
     """Run a program that uses the check library and count its checks."""
-    code, out = run_command(f"{BUILD}/tests/{name}")
+    program, *args = name.split()
+    code, out = run_command(f"{BUILD}/tests/{program}", *args)
     counts = re.search(r"Checks: (\d+), Failures: (\d+), Errors: (\d+)", out)
     if not counts:
         return name, 0, 1, out
@@ -124,7 +125,8 @@
                  "check-head", "check-start", "check-stop",
                  "check-stop-serve", "check-poison", "check-deadly",
                  "check-deadly-serve", "check-parts", "check-platform",
-                 "check-config", "check-http", "check-upstream", "check-reply", "check-broken", "check-peer"):
+                 "check-config", "check-http", "check-upstream", "check-reply", "check-broken", "check-peer",
+                 "check-fetch open", "check-broken open"):
         yield name, lambda n=name: run_check(n)
     yield "fuzz", lambda: run_program(
         "fuzz", f"{BUILD}/tests/fuzz", "1", FUZZ_SEEDS)
